--- /dev/null
+++ b/src/rooksill/api/users.cc
@@ -0,0 +1,268 @@
+#include "rooksill/api/users.h"
+
+#include <algorithm>
+
+#include "rooksill/api/codec.h"
+#include "rooksill/core/codec.h"
+
+namespace rooksill::api {
+
+using core::Job;
+using core::JobEnd;
+using state::Outcome;
+
+namespace {
+constexpr double kRetryAfter = 1;    // the shortest pause a user makes
+constexpr double kPatience = 1.5;    // below the 2 s that a user waits for a poll
+constexpr size_t kMaxLookups = 64;   // reads of unknown ids under way
+constexpr int kMaxInFlight = 2;      // transactions of a kind under way
+}  // namespace
+
+void Users::handle(const core::Request& r) {
+  const std::string prefix = "/api/jobs";
+  if (r.target == prefix) {
+    if (r.method != "POST") return ctx_.reply(r.id, 405, encode_error("use POST"));
+    return submit(r);
+  }
+  if (r.target.compare(0, prefix.size() + 1, prefix + "/") != 0)
+    return ctx_.reply(r.id, 404, encode_error("no such path"));
+  std::string id = r.target.substr(prefix.size() + 1);
+  const std::string tail = "/cancel";
+  bool cancelling = id.size() > tail.size() &&
+                    id.compare(id.size() - tail.size(), tail.size(), tail) == 0;
+  if (cancelling) id.resize(id.size() - tail.size());
+  if (id.find('/') != std::string::npos)
+    return ctx_.reply(r.id, 404, encode_error("no such path"));
+  if (r.method != (cancelling ? "POST" : "GET"))
+    return ctx_.reply(r.id, 405, encode_error(cancelling ? "use POST" : "use GET"));
+  if (!core::valid_job_id(id)) return ctx_.reply(r.id, 404, encode_error("no such job"));
+  if (cancelling)
+    cancel(r.id, id, 0);
+  else
+    poll(r.id, id);
+}
+
+void Users::later(uint64_t request) {
+  ctx_.reply(request, 503, encode_error("try again"), kRetryAfter);
+}
+
+std::string Users::unrunnable(const core::JobSpec& s) const {
+  auto team = ctx_.settings.platform.teams.find(s.team);
+  if (team == ctx_.settings.platform.teams.end()) return "unknown team";
+  const double count = s.shape == core::Shape::kService ? s.tasks : 1;
+  const auto& limit = team->second;
+  if (limit.cpus_max > 0 && s.cpus * count > limit.cpus_max) return "more than the team's limit";
+  if (limit.gpus_max > 0 && s.gpus * count > limit.gpus_max) return "more than the team's limit";
+  for (const auto& [name, t] : replica_.types) {
+    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), name) == s.types.end())
+      continue;
+    if (!s.zone.empty() && std::find(t.zones.begin(), t.zones.end(), s.zone) == t.zones.end())
+      continue;
+    if (s.cpus <= t.cpus && s.gpus <= t.gpus && s.memory_gb <= t.memory_gb) return "";
+  }
+  return "a task fits no allowed machine type";
+}
+
+void Users::submit(const core::Request& r) {
+  std::string error;
+  auto spec = parse_job(r.body, error);
+  if (!spec) return ctx_.reply(r.id, 400, encode_error(error));
+  // A retry of an accepted job is answered with its state, whatever else would be said of it.
+  if (replica_.job(spec->id) != nullptr) return poll(r.id, spec->id);
+  if (!replica_.synced || replica_.types.empty()) return later(r.id);
+  if (std::string why = unrunnable(*spec); !why.empty())
+    return ctx_.reply(r.id, 422, encode_error(why));
+  Creation c;
+  c.request = r.id;
+  c.since = ctx_.now.steady;
+  c.job.submitted = ctx_.now.wall;
+  c.job.spec = std::move(*spec);
+  if (core::encode_job(c.job).dump().size() > ctx_.settings.platform.state_value_bytes * 9 / 10)
+    return ctx_.reply(r.id, 400, encode_error("builds: too long"));
+  const auto bound = static_cast<size_t>(ctx_.settings.platform.state_write_rps * 2);
+  if (creations_.size() >= bound) return later(r.id);
+  creations_.push_back(std::move(c));
+}
+
+void Users::flush_creations() {
+  while (!creations_.empty() && ctx_.now.steady - creations_.front().since > kPatience) {
+    later(creations_.front().request);
+    creations_.pop_front();
+  }
+  if (creations_.empty() || creating_ >= kMaxInFlight) return;
+  // A group goes out at once; the limits decide how large it may be.
+  const size_t most =
+      std::min<size_t>({ctx_.settings.platform.state_txn_ops, creations_.size(),
+                        static_cast<size_t>(std::max(
+                            1.0, ctx_.settings.platform.state_write_rps /
+                                     ctx_.settings.platform.controllers / 2))});
+  std::vector<Creation> group;
+  std::vector<state::Guard> guards;
+  std::vector<state::Write> writes;
+  std::set<std::string> ids;
+  size_t bytes = 0;
+  for (size_t i = 0; i < most; ++i) {
+    Creation& c = creations_[i];
+    if (!ids.insert(c.job.spec.id).second) break;  // the same id twice: the second one waits
+    auto value = core::encode_job(c.job);
+    bytes += value.dump().size() + 200;
+    if (bytes > 48 * 1024 && i > 0) break;
+    guards.push_back({core::job_key(c.job.spec.id), 0});
+    writes.push_back({core::job_key(c.job.spec.id), std::move(value), 0});
+    group.push_back(c);
+  }
+  const size_t taken = group.size();
+  bool sent = committer_.commit(
+      std::move(guards), std::move(writes), [this, group](const state::TxnResult& result) {
+        --creating_;
+        switch (result.outcome) {
+          case Outcome::kApplied:
+            for (const auto& c : group) {
+              accepted_.push_back(c.job.spec.id);
+              ctx_.debug("api", "job {} accepted: class {} team {} tasks {}", c.job.spec.id,
+                         c.job.spec.job_class, c.job.spec.team, c.job.spec.tasks);
+              ctx_.reply(c.request, 201, encode_accepted(c.job.spec.id));
+            }
+            break;
+          case Outcome::kConflict:
+            // Some ids exist already: those get their state, the others go out again.
+            for (const auto& c : group) {
+              const std::string key = core::job_key(c.job.spec.id);
+              if (std::find(result.failed.begin(), result.failed.end(), key) !=
+                  result.failed.end())
+                poll(c.request, c.job.spec.id);
+              else
+                creations_.push_front(c);
+            }
+            break;
+          case Outcome::kRefused:
+          case Outcome::kNoLease:
+            for (const auto& c : group) later(c.request);
+            break;
+          case Outcome::kUnknown:
+            // Read back before answering: it may have been applied.
+            for (const auto& c : group)
+              look_up(
+                  c.request, c.job.spec.id,
+                  [this, c] {
+                    accepted_.push_back(c.job.spec.id);
+                    answer(c.request, c.job.spec.id);
+                  },
+                  true);
+            break;
+        }
+      });
+  if (!sent) return;
+  ++creating_;
+  creations_.erase(creations_.begin(), creations_.begin() + static_cast<long>(taken));
+}
+
+// Reads a job that is not known here. `found` runs once it is in the replica.
+void Users::look_up(uint64_t request, const std::string& id, std::function<void()> found,
+                    bool submission) {
+  if (lookups_ >= kMaxLookups) return later(request);
+  bool sent = client_.read(core::job_key(id), [this, request, id, submission,
+                                               found = std::move(found)](
+                                                  const state::ReadResult& r) {
+    --lookups_;
+    if (!r.answered) return later(request);
+    if (r.found) replica_.apply(core::job_key(id), r.value, r.stamp);
+    if (replica_.job(id) != nullptr) return found();
+    // A submission that was not applied may be sent again; 404 would end it.
+    if (submission) return later(request);
+    ctx_.reply(request, 404, encode_error("no such job"));
+  });
+  if (sent)
+    ++lookups_;
+  else
+    later(request);
+}
+
+void Users::answer(uint64_t request, const std::string& id) {
+  ctx_.reply(request, 200, encode_status(*replica_.job(id)));
+}
+
+void Users::poll(uint64_t request, const std::string& id) {
+  const Job* job = replica_.job(id);
+  if (job == nullptr) return look_up(request, id, [this, request, id] { answer(request, id); });
+  if (job->over()) return answer(request, id);  // final states stay
+  // Another node may have told this user of an end that has not reached us: ask the state.
+  if (polls_.size() >= ctx_.settings.platform.state_txn_ops * 16) return later(request);
+  polls_.push_back({request, id, ctx_.now.steady});
+}
+
+void Users::flush_polls() {
+  while (!polls_.empty() && ctx_.now.steady - polls_.front().since > kPatience) {
+    later(polls_.front().request);
+    polls_.pop_front();
+  }
+  if (polls_.empty() || checking_ >= kMaxInFlight) return;
+  const size_t most = std::min(polls_.size(), ctx_.settings.platform.state_txn_ops * 4);
+  std::vector<Poll> group(polls_.begin(), polls_.begin() + static_cast<long>(most));
+  std::set<std::string> ids;
+  std::vector<state::Guard> guards;
+  for (const auto& p : group)
+    if (ids.insert(p.id).second)
+      guards.push_back({core::job_key(p.id), replica_.job(p.id)->stamp});
+  bool sent = client_.txn(std::move(guards), {}, [this, group](const state::TxnResult& r) {
+    --checking_;
+    if (r.outcome == Outcome::kApplied) {
+      for (const auto& p : group) answer(p.request, p.id);
+    } else if (r.outcome == Outcome::kConflict) {
+      std::set<std::string> failed(r.failed.begin(), r.failed.end());
+      for (const auto& p : group) {
+        if (failed.count(core::job_key(p.id)) == 0)
+          answer(p.request, p.id);
+        else
+          look_up(p.request, p.id, [this, p] { answer(p.request, p.id); });
+      }
+    } else {
+      for (const auto& p : group) later(p.request);
+    }
+  });
+  if (!sent) return;
+  ++checking_;
+  polls_.erase(polls_.begin(), polls_.begin() + static_cast<long>(most));
+}
+
+void Users::cancel(uint64_t request, const std::string& id, int tries) {
+  const Job* job = replica_.job(id);
+  if (job == nullptr)
+    return look_up(request, id, [this, request, id, tries] { cancel(request, id, tries); });
+  if (job->over()) return answer(request, id);
+  if (tries > 3) return later(request);
+  Job ended;
+  ended.spec = job->spec;
+  ended.submitted = job->submitted;
+  ended.end = JobEnd::kCancelled;
+  bool sent = committer_.commit(
+      {{core::job_key(id), job->stamp}}, {{core::job_key(id), core::encode_job(ended), 0}},
+      [this, request, id, tries](const state::TxnResult& r) {
+        switch (r.outcome) {
+          case Outcome::kApplied:
+            ctx_.debug("api", "job {} cancelled", id);
+            return answer(request, id);
+          case Outcome::kConflict:
+            return look_up(request, id,
+                           [this, request, id, tries] { cancel(request, id, tries + 1); });
+          case Outcome::kUnknown:
+            return look_up(request, id, [this, request, id] {
+              if (replica_.job(id)->over())
+                answer(request, id);
+              else
+                later(request);
+            });
+          case Outcome::kRefused:
+          case Outcome::kNoLease:
+            return later(request);
+        }
+      });
+  if (!sent) later(request);
+}
+
+void Users::flush() {
+  flush_creations();
+  flush_polls();
+}
+
+}  // namespace rooksill::api
--- /dev/null
+++ b/src/rooksill/api/users.h
@@ -0,0 +1,58 @@
+// Users' requests: submissions, polls, cancellations.
+#pragma once
+
+#include <deque>
+
+#include "rooksill/core/context.h"
+#include "rooksill/core/replica.h"
+#include "rooksill/state/committer.h"
+
+namespace rooksill::api {
+
+class Users {
+ public:
+  Users(core::Context& ctx, core::Replica& replica, state::Client& client,
+        state::Committer& committer)
+      : ctx_(ctx), replica_(replica), client_(client), committer_(committer) {}
+
+  void handle(const core::Request& request);
+  // Sends what is waiting; comes after reports and decisions.
+  void flush();
+  std::vector<std::string> take_accepted() { return std::exchange(accepted_, {}); }
+  size_t waiting() const { return creations_.size() + polls_.size(); }
+
+ private:
+  struct Creation {
+    uint64_t request = 0;
+    core::Job job;
+    double since = 0;
+  };
+  struct Poll {
+    uint64_t request = 0;
+    std::string id;
+    double since = 0;
+  };
+
+  void submit(const core::Request& request);
+  void poll(uint64_t request, const std::string& id);
+  void cancel(uint64_t request, const std::string& id, int tries);
+  void answer(uint64_t request, const std::string& id);
+  void look_up(uint64_t request, const std::string& id, std::function<void()> found,
+               bool submission = false);
+  void later(uint64_t request);
+  void flush_creations();
+  void flush_polls();
+  std::string unrunnable(const core::JobSpec& spec) const;
+
+  core::Context& ctx_;
+  core::Replica& replica_;
+  state::Client& client_;
+  state::Committer& committer_;
+  std::deque<Creation> creations_;
+  std::deque<Poll> polls_;
+  std::vector<std::string> accepted_;
+  int creating_ = 0, checking_ = 0;
+  size_t lookups_ = 0;
+};
+
+}  // namespace rooksill::api
--- /dev/null
+++ b/src/rooksill/cloud/fleet.cc
@@ -0,0 +1,573 @@
+#include "rooksill/cloud/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "rooksill/core/codec.h"
+#include "rooksill/policy/sizing.h"
+
+namespace rooksill::cloud {
+
+using core::Job;
+using core::JobSpec;
+using core::Machine;
+using core::MachineType;
+using state::Outcome;
+
+namespace {
+constexpr double kLateBoot = 2.5;    // boot times after which a machine is not counted on
+constexpr double kFailedBoot = 4.0;  // boot times after which it is returned
+constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
+constexpr size_t kReleaseBatch = 100;
+constexpr int kHireMost = 50;
+constexpr double kCallTimeout = 3;
+}  // namespace
+
+Fleet::Fleet(core::Context& ctx, core::Replica& replica, state::Committer& committer)
+    : ctx_(ctx), replica_(replica), committer_(committer),
+      limit_(ctx.settings.platform.cloud_rps) {}
+
+double Fleet::share(const JobSpec& s, const MachineType& t) const {
+  double out = 0;
+  if (t.cpus > 0) out = std::max(out, s.cpus / t.cpus);
+  if (t.memory_gb > 0) out = std::max(out, s.memory_gb / t.memory_gb);
+  if (t.gpus > 0) out = std::max(out, s.gpus / t.gpus);
+  return out;
+}
+
+void Fleet::measure(const std::vector<core::TaskEvent>& events) {
+  for (const auto& e : events) {
+    const Machine* m = replica_.machine(e.machine);
+    const Job* j = replica_.job(e.job);
+    if (m == nullptr || j == nullptr) continue;
+    auto type = replica_.types.find(m->type);
+    if (type == replica_.types.end()) continue;
+    policy::Demand& d = demand_[{m->type, m->spot}];
+    const double part = share(j->spec, type->second);
+    if (e.kind == core::TaskEvent::Kind::kFirstPlaced)
+      d.arrived(part);
+    else
+      d.finished(part);
+  }
+}
+
+void Fleet::observe(const std::map<std::string, net::MachineView>& views) {
+  const double now = ctx_.now.steady;
+  const double passed = last_tick_ > 0 ? now - last_tick_ : 0;
+  last_tick_ = now;
+  for (const auto& [name, v] : views)
+    if (const Machine* m = replica_.machine(name))
+      demand_[{m->type, m->spot}].busy(v.load, passed);
+  if (now < next_measure_) return;
+  const auto& s = ctx_.settings;
+  const double period = s.operators.period_reports * s.platform.report_s;
+  if (next_measure_ > 0)
+    for (auto& [pool, d] : demand_) d.end_period(period, s.operators.demand_cap);
+  next_measure_ = now + period;
+}
+
+void Fleet::start_term(uint64_t term) {
+  active_ = true;
+  term_ = term;
+  next_hire_ = 1;
+  hires_.clear();
+  to_deal_.clear();
+  to_drop_.clear();
+  releasing_.clear();
+  release_sent_.clear();
+  drain_.clear();
+  drain_since_.clear();
+  unexpected_.clear();
+  writing_.clear();
+  listing_busy_ = catalog_busy_ = list_seen_ = false;
+  next_list_ = next_catalog_ = 0;
+  // What was measured while following is used from the first full period on.
+  next_period_ = std::max(next_measure_, ctx_.now.steady + ctx_.settings.platform.report_s);
+}
+
+void Fleet::stop() { active_ = false; }
+
+bool Fleet::cloud_call(const std::string& method, const std::string& path, const std::string& body,
+                       double timeout_s, core::CallHandler handler) {
+  if (!limit_.take(1)) return false;
+  const auto term = term_;
+  ctx_.call(core::Target::kCloud, ctx_.settings.platform.cloud_address, method, path, body,
+            timeout_s, [this, term, handler = std::move(handler)](const core::CallDone& d) {
+              if (active_ && term == term_) handler(d);
+            });
+  return true;
+}
+
+std::map<Pool, std::vector<const Machine*>> Fleet::pools() const {
+  std::map<Pool, std::vector<const Machine*>> out;
+  for (const auto& [name, m] : replica_.machines) out[{m.type, m.spot}].push_back(&m);
+  return out;
+}
+
+// ---- catalogue and list --------------------------------------------------------------------
+
+void Fleet::fetch_catalog() {
+  if (catalog_busy_ || ctx_.now.steady < next_catalog_) return;
+  catalog_busy_ = cloud_call("GET", "/catalog", "", kCallTimeout, [this](const core::CallDone& d) {
+    catalog_busy_ = false;
+    auto types = d.status == 200 ? parse_catalog(d.body) : std::nullopt;
+    const double report = ctx_.settings.platform.report_s;
+    next_catalog_ = ctx_.now.steady + (types ? 20 * report : report / 3);
+    if (!types) return;
+    std::vector<state::Write> writes;
+    for (const auto& t : *types) {
+      if (t.name.empty() || t.name.find(' ') != std::string::npos || t.name.size() > 100) continue;
+      auto value = core::encode_type(t);
+      auto known = replica_.types.find(t.name);
+      if (known != replica_.types.end() && core::encode_type(known->second) == value) continue;
+      if (writes.size() < ctx_.settings.platform.state_txn_ops)
+        writes.push_back({core::type_key(t.name), std::move(value), 0});
+    }
+    if (writes.empty()) return;
+    bool sent = committer_.commit({{core::kLeaderKey, replica_.leader.stamp}}, std::move(writes),
+                                  [this](const state::TxnResult& r) {
+                                    if (r.outcome != Outcome::kApplied)
+                                      next_catalog_ = ctx_.now.steady + 0.3;
+                                  });
+    if (!sent) next_catalog_ = ctx_.now.steady + 0.3;
+  });
+}
+
+void Fleet::fetch_list(const std::string& after) {
+  std::string path = "/hosts?most=500";
+  if (!after.empty()) path = "/hosts?from=" + after + "&most=500";
+  if (after.empty()) listing_.clear();
+  listing_busy_ = cloud_call("GET", path, "", kCallTimeout, [this](const core::CallDone& d) {
+    listing_busy_ = false;
+    const double report = ctx_.settings.platform.report_s;
+    auto page = d.status == 200 ? parse_list(d.body) : std::nullopt;
+    if (!page) {
+      next_list_ = ctx_.now.steady + report / 2;
+      return;
+    }
+    listing_.insert(listing_.end(), page->machines.begin(), page->machines.end());
+    if (page->more && !page->machines.empty()) return fetch_list(page->machines.back().name);
+    next_list_ = ctx_.now.steady + report;
+    on_list();
+  });
+  if (!listing_busy_) next_list_ = ctx_.now.steady + ctx_.settings.platform.report_s / 3;
+}
+
+void Fleet::on_list() {
+  list_seen_ = true;
+  const double lag = ctx_.settings.platform.cloud_list_lag_s;
+  std::map<std::string, int> unexpected;
+  for (const auto& m : listing_) {
+    if (!m.address.empty()) addresses_[m.name] = m.address;
+    if (gone_.count(m.name) != 0 || to_deal_.count(m.name) != 0) continue;
+    if (replica_.machine(m.name) != nullptr) {
+      if (m.failed) release(m.name, "listed as failed");
+      continue;
+    }
+    // Rented by a request whose answer was lost, or carried out late; or gone and still listed.
+    // It is taken in once it has been listed for longer than a list can lag.
+    const int seen = unexpected[m.name] = unexpected_[m.name] + 1;
+    if (seen * ctx_.settings.platform.report_s < 2 * lag) continue;
+    if (m.failed) {
+      release(m.name, "unexpected and failed");
+    } else {
+      ctx_.info("fleet", "machine {} was not expected: adopted", m.name);
+      deal(m.name, {{m.type, m.spot}, m.zone});
+    }
+  }
+  unexpected_ = std::move(unexpected);
+}
+
+void Fleet::sighted(const net::Sighting& s) {
+  if (!active_ || replica_.machine(s.machine) != nullptr || to_deal_.count(s.machine) != 0) return;
+  if (gone_.count(s.machine) != 0) return;
+  for (const auto& [name, h] : hires_)
+    if (h.busy && h.offer.pool == Pool{s.type, s.spot} && h.offer.zone == s.zone)
+      return;  // likely ours: the answer names it
+  ctx_.info("fleet", "machine {} reports and is in no block: adopted", s.machine);
+  addresses_[s.machine] = s.address;
+  deal(s.machine, {{s.type, s.spot}, s.zone});
+}
+
+// ---- rentals -------------------------------------------------------------------------------
+
+bool Fleet::open(const Offer& offer) const {
+  auto it = refused_until_.find(offer);
+  return it == refused_until_.end() || it->second <= ctx_.now.steady;
+}
+
+int Fleet::booting_hires(const Offer& offer) const {
+  int n = 0;
+  for (const auto& [name, h] : hires_)
+    if (h.offer == offer) n += h.count;
+  return n;
+}
+
+void Fleet::rent(const Offer& offer, int count, const std::string& reason) {
+  if (count <= 0) return;
+  last_rental_[offer] = ctx_.now.steady;
+  Hire h;
+  h.offer = offer;
+  h.count = std::min(count, kHireMost);
+  h.reason = reason;
+  h.asked = ctx_.now.wall;
+  const std::string name = "rk-" + std::to_string(term_) + "-" + std::to_string(next_hire_++);
+  ctx_.info("fleet", "rent {} {} {} in {} ({}) as {}", h.count, offer.pool.spot ? "spot" : "ordinary",
+            offer.pool.type, offer.zone, reason, name);
+  hires_.emplace(name, std::move(h));
+}
+
+void Fleet::send_hires() {
+  for (auto& [name, h] : hires_) {
+    if (h.busy || ctx_.now.steady < h.next) continue;
+    const bool sent = cloud_call(
+        "POST", "/hosts",
+        encode_rental(name, h.offer.pool.type, h.offer.zone, h.offer.pool.spot, h.count),
+        kCallTimeout, [this, key = name](const core::CallDone& d) {
+          auto it = hires_.find(key);
+          if (it == hires_.end()) return;
+          Hire& x = it->second;
+          x.busy = false;
+          const double report = ctx_.settings.platform.report_s;
+          if (d.status == 200) {
+            if (auto names = parse_rented(d.body)) {
+              for (const auto& n : *names) deal(n, x.offer);
+              if (static_cast<int>(names->size()) < x.count)
+                refused_until_[x.offer] = ctx_.now.steady + 3 * report;
+              hires_.erase(it);
+              return;
+            }
+          }
+          const bool no_capacity =
+              d.status == 503 && d.body.find("no capacity") != std::string::npos;
+          if (no_capacity || d.status == 400) {
+            ctx_.info("fleet", "no capacity: {} {} in {}", x.offer.pool.spot ? "spot" : "ordinary",
+                      x.offer.pool.type, x.offer.zone);
+            refused_until_[x.offer] = ctx_.now.steady + 3 * report;
+            hires_.erase(it);
+            return;
+          }
+          // Refused or unknown: the same name asks for the same machines, so it is asked again.
+          x.next = ctx_.now.steady + report / 3;
+          if (++x.tries > 20) hires_.erase(it);  // late machines will be adopted
+        });
+    if (!sent) return;
+    h.busy = true;
+  }
+}
+
+int Fleet::best_block(const Offer& offer) const {
+  std::vector<std::pair<int, int>> load(replica_.leases.size());
+  auto count = [&](const Machine& m) {
+    auto& l = load[static_cast<size_t>(m.block)];
+    if (m.type == offer.pool.type && m.spot == offer.pool.spot && m.zone == offer.zone) ++l.first;
+    ++l.second;
+  };
+  for (const auto& [n, m] : replica_.machines) count(m);
+  for (const auto& [n, m] : to_deal_)
+    if (replica_.machine(n) == nullptr) count(m);
+  // Each block spans the zones: the one with the fewest of this kind here, then the smallest.
+  return static_cast<int>(std::min_element(load.begin(), load.end()) - load.begin());
+}
+
+void Fleet::deal(const std::string& name, const Offer& offer) {
+  if (name.empty() || name.size() > 100) return;
+  Machine m;
+  m.name = name;
+  m.type = offer.pool.type;
+  m.zone = offer.zone;
+  m.spot = offer.pool.spot;
+  m.block = best_block(offer);
+  m.rented = ctx_.now.wall;
+  to_deal_.emplace(name, std::move(m));
+}
+
+void Fleet::write_machines() {
+  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
+    if (writing_.count(b) != 0) continue;
+    std::map<std::string, Machine> block;
+    for (const auto& [n, m] : replica_.machines)
+      if (m.block == b) block.emplace(n, m);
+    bool changed = false;
+    for (const auto& [n, m] : to_deal_)
+      if (m.block == b && block.emplace(n, m).second) changed = true;
+    for (const auto& n : to_drop_) changed = block.erase(n) != 0 || changed;
+    if (!changed) continue;
+    auto key = core::machines_key(b);
+    bool sent = committer_.commit(
+        {{core::kLeaderKey, replica_.leader.stamp},
+         {key, replica_.machine_stamps[static_cast<size_t>(b)]}},
+        {{key, core::encode_machines(block), 0}}, [this, b, key](const state::TxnResult& r) {
+          if (r.outcome == Outcome::kConflict || r.outcome == Outcome::kUnknown) {
+            committer_.refresh({key}, [this, b] { writing_.erase(b); });
+            return;
+          }
+          writing_.erase(b);
+        });
+    if (sent) writing_.insert(b);
+  }
+  std::erase_if(to_deal_, [&](const auto& d) { return replica_.machine(d.first) != nullptr; });
+  std::erase_if(to_drop_, [&](const auto& n) { return replica_.machine(n) == nullptr; });
+}
+
+// ---- releases ------------------------------------------------------------------------------
+
+void Fleet::release(const std::string& name, const std::string& reason) {
+  if (releasing_.emplace(name, reason).second)
+    ctx_.info("fleet", "release {} ({})", name, reason);
+}
+
+void Fleet::send_releases() {
+  std::vector<std::string> names;
+  for (const auto& [name, reason] : releasing_)
+    if (release_sent_.count(name) == 0 && names.size() < kReleaseBatch) names.push_back(name);
+  if (names.empty()) return;
+  bool sent = cloud_call("POST", "/hosts/release", encode_release(names), kCallTimeout,
+                         [this, names](const core::CallDone& d) {
+                           for (const auto& n : names) {
+                             release_sent_.erase(n);
+                             if (d.status != 200) continue;
+                             // The answer is the proof that the machine and its tasks are gone.
+                             releasing_.erase(n);
+                             to_deal_.erase(n);
+                             drain_.erase(n);
+                             gone_[n] = ctx_.now.steady;
+                             to_drop_.insert(n);
+                           }
+                         });
+  if (sent) release_sent_.insert(names.begin(), names.end());
+}
+
+void Fleet::judge(const std::map<std::string, net::MachineView>& views,
+                  const std::set<int>& suspect_blocks) {
+  for (const auto& [name, m] : replica_.machines) {
+    if (to_drop_.count(name) != 0) continue;
+    auto type = replica_.types.find(m.type);
+    const double boot =
+        type != replica_.types.end() ? type->second.boot_s : ctx_.settings.platform.lease_s;
+    const double age = ctx_.now.wall - m.rented;
+    auto it = views.find(name);
+    if (it == views.end()) continue;  // its holder says nothing: nothing is known
+    const auto& v = it->second;
+    if (!v.up && v.tasks == 0 && age > kFailedBoot * boot)
+      release(name, "never came up");
+    else if (v.silent && suspect_blocks.count(m.block) == 0)
+      release(name, "silent");
+    else if (v.bad)
+      release(name, "fails every task");
+    else if (v.warned && v.tasks == 0)
+      release(name, "to be taken, and empty");
+    else if (v.draining && drain_.count(name) != 0 && v.tasks == 0)
+      release(name, "idle");
+  }
+}
+
+// ---- policy --------------------------------------------------------------------------------
+
+void Fleet::run_policy(const std::map<std::string, net::MachineView>& views) {
+  const auto& op = ctx_.settings.operators;
+  const auto& p = ctx_.settings.platform;
+  // What a late start costs follows from how rarely the users allow one.
+  double miss = 1;
+  for (const auto& o : p.objectives)
+    if (o.kind == "wait" && o.share < 1) miss = std::max(miss, 1 / (1 - o.share));
+  auto by_pool = pools();
+  for (const auto& [name, type] : replica_.types) {
+    for (bool spot : {false, true}) {
+      const Pool pool{name, spot};
+      policy::Demand& d = demand_[pool];
+      policy::SizingInput in;
+      std::vector<std::string> idle;
+      for (const Machine* m : by_pool[pool]) {
+        if (to_drop_.count(m->name) != 0 || releasing_.count(m->name) != 0) continue;
+        auto v = views.find(m->name);
+        if (v != views.end() && (v->second.bad || v->second.silent || v->second.warned)) continue;
+        if (drain_.count(m->name) != 0) continue;
+        ++in.x;
+        if (v == views.end()) continue;
+        in.y += v->second.load;
+        if (v->second.up && v->second.tasks == 0 && ctx_.now.wall - m->rented > kMinimumCharge)
+          idle.push_back(m->name);
+      }
+      int& ceiling = ceiling_.emplace(pool, op.ceiling).first->second;
+      bool any_open = false;
+      for (const auto& z : type.zones) any_open = any_open || open({pool, z});
+      // R falls to what is held while the cloud refuses, and recovers step by step.
+      ceiling = any_open ? std::min(op.ceiling, ceiling + 1) : std::max(1, in.x);
+      in.lambda = d.lambda();
+      in.mu = d.mu();
+      in.ceiling = std::max(ceiling, in.x);
+      in.periods = op.periods;
+      in.c1 = op.planned_cost;
+      in.c2 = op.unplanned_cost * (spot ? 1 : miss);
+      in.h = op.holding_cost;
+      if (in.x == 0 && in.lambda < 1e-6) continue;
+      const auto out = policy::size_fleet(in);
+      ctx_.info("policy",
+                "{} {}: x {} y {:.2f} lambda {:.3f} mu {:.3f} E[y] {:.2f} E[v] {:.3f} u {} cost "
+                "{:.2f} R {}",
+                spot ? "spot" : "ordinary", name, in.x, in.y, in.lambda, in.mu, out.expected_y,
+                out.expected_v, out.u, out.cost, in.ceiling);
+      if (out.u > 0) {
+        std::map<std::string, int> per_zone;
+        for (const Machine* m : by_pool[pool]) ++per_zone[m->zone];
+        std::map<std::string, int> wanted;
+        for (int i = 0; i < out.u; ++i) {
+          std::string best;
+          for (const auto& z : type.zones)
+            if (open({pool, z}) && (best.empty() || per_zone[z] < per_zone[best])) best = z;
+          if (best.empty()) break;
+          ++per_zone[best];
+          ++wanted[best];
+        }
+        for (const auto& [z, n] : wanted) rent({pool, z}, n, "planned");
+      } else if (out.u < 0) {
+        for (int i = 0; i < -out.u && i < static_cast<int>(idle.size()); ++i) {
+          drain_.insert(idle[static_cast<size_t>(i)]);
+          drain_since_[idle[static_cast<size_t>(i)]] = ctx_.now.steady;
+        }
+      }
+    }
+  }
+}
+
+void Fleet::rent_for_waiting(const std::map<std::string, net::MachineView>& views,
+                             const std::vector<Waiting>& waiting) {
+  struct Room {
+    const MachineType* type;
+    std::string zone;
+    bool spot;
+    double cpus, gpus, memory;
+  };
+  std::vector<Room> rooms;
+  for (const auto& [name, m] : replica_.machines) {
+    auto type = replica_.types.find(m.type);
+    if (type == replica_.types.end() || releasing_.count(name) != 0 || to_drop_.count(name) != 0 ||
+        drain_.count(name) != 0)
+      continue;
+    auto v = views.find(name);
+    const bool up = v != views.end() && v->second.up;
+    const auto& t = type->second;
+    if (up) {
+      if (v->second.cpus_free > 0)
+        rooms.push_back({&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free,
+                         v->second.memory_free});
+    } else if (ctx_.now.wall - m.rented < kLateBoot * t.boot_s) {
+      rooms.push_back({&t, m.zone, m.spot, t.cpus, t.gpus, t.memory_gb});
+    }
+  }
+  for (const auto& [name, m] : to_deal_) {
+    auto type = replica_.types.find(m.type);
+    if (type == replica_.types.end() || replica_.machine(name) != nullptr) continue;
+    rooms.push_back({&type->second, m.zone, m.spot, type->second.cpus, type->second.gpus,
+                     type->second.memory_gb});
+  }
+  for (const auto& [name, h] : hires_) {
+    auto type = replica_.types.find(h.offer.pool.type);
+    if (type == replica_.types.end()) continue;
+    for (int i = 0; i < h.count; ++i)
+      rooms.push_back({&type->second, h.offer.zone, h.offer.pool.spot, type->second.cpus,
+                       type->second.gpus, type->second.memory_gb});
+  }
+  std::map<Offer, int> wanted;
+  const double pause = ctx_.settings.platform.report_s;
+  for (const auto& w : waiting) {
+    const JobSpec& s = w.job->spec;
+    std::map<std::string, uint32_t> zones;
+    std::string only_zone = s.zone;
+    for (const auto& c : w.job->chunks)
+      for (const auto& t : c.tasks)
+        if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine)) {
+          ++zones[m->zone];
+          if (s.one_zone) only_zone = m->zone;
+        }
+    auto fits_zone = [&](const std::string& zone) {
+      if (!only_zone.empty() && zone != only_zone) return false;
+      return !s.spread || zones[zone] < (s.tasks + 1) / 2;
+    };
+    auto allowed_type = [&](const std::string& name) {
+      return s.types.empty() || std::find(s.types.begin(), s.types.end(), name) != s.types.end();
+    };
+    for (uint32_t i = 0; i < w.count; ++i) {
+      Room* found = nullptr;
+      for (auto& r : rooms) {
+        if ((r.spot && !s.spot) || !fits_zone(r.zone) || !allowed_type(r.type->name)) continue;
+        if (s.cpus > r.cpus + 1e-9 || s.gpus > r.gpus + 1e-9 || s.memory_gb > r.memory + 1e-9)
+          continue;
+        found = &r;
+        break;
+      }
+      if (found == nullptr) {
+        // The cheapest way to hold what still waits of this job.
+        Offer best;
+        const MachineType* best_type = nullptr;
+        double best_cost = std::numeric_limits<double>::infinity();
+        for (const auto& [name, t] : replica_.types) {
+          if (!allowed_type(name) || s.cpus > t.cpus || s.gpus > t.gpus || s.memory_gb > t.memory_gb)
+            continue;
+          for (bool spot : {true, false}) {
+            if (spot && !s.spot) continue;
+            for (const auto& z : t.zones) {
+              const Offer offer{{name, spot}, z};
+              if (!fits_zone(z) || !open(offer)) continue;
+              const double slots = std::max(1.0, std::floor(1 / std::max(1e-6, share(s, t))));
+              const double cost = (spot ? t.spot_price : t.price) /
+                                  std::min(slots, 2.0 * (w.count - i)) *
+                                  (1 + 0.01 * wanted[offer]);
+              if (cost < best_cost) {
+                best_cost = cost;
+                best = offer;
+                best_type = &t;
+              }
+            }
+          }
+        }
+        if (best_type == nullptr) break;
+        ++wanted[best];
+        rooms.push_back({best_type, best.zone, best.pool.spot, best_type->cpus, best_type->gpus,
+                         best_type->memory_gb});
+        found = &rooms.back();
+      }
+      found->cpus -= s.cpus;
+      found->gpus -= s.gpus;
+      found->memory -= s.memory_gb;
+      ++zones[found->zone];
+      if (s.one_zone) only_zone = found->zone;
+    }
+  }
+  for (const auto& [offer, n] : wanted) {
+    auto last = last_rental_.find(offer);
+    // At most one call per type and zone every few seconds.
+    if (last != last_rental_.end() && ctx_.now.steady < last->second + pause) continue;
+    rent(offer, n, "on demand");
+  }
+}
+
+void Fleet::tick(const std::map<std::string, net::MachineView>& views,
+                 const std::vector<Waiting>& waiting, const std::set<int>& suspect_blocks) {
+  if (!active_) return;
+  const double now = ctx_.now.steady;
+  limit_.refill(now);
+  std::erase_if(gone_, [&](const auto& g) {
+    return now - g.second > 4 * ctx_.settings.platform.cloud_list_lag_s + 30;
+  });
+  judge(views, suspect_blocks);
+  send_releases();
+  fetch_catalog();
+  send_hires();
+  if (!listing_busy_ && now >= next_list_) fetch_list("");
+  if (now >= next_on_demand_ && !replica_.types.empty()) {
+    next_on_demand_ = now + ctx_.settings.platform.report_s / 3;
+    rent_for_waiting(views, waiting);
+    send_hires();
+  }
+  if (now >= next_period_ && list_seen_) {
+    next_period_ = now + ctx_.settings.operators.period_reports * ctx_.settings.platform.report_s;
+    run_policy(views);
+    send_hires();
+  }
+  write_machines();
+}
+
+}  // namespace rooksill::cloud
--- /dev/null
+++ b/src/rooksill/core/codec.h
@@ -0,0 +1,40 @@
+// The service's own records in the state service.
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+
+#include "rooksill/core/model.h"
+
+namespace rooksill::core {
+
+// Keys: everything lies under one prefix, so that one watch shows all of it.
+inline const std::string kPrefix = "rk/";
+std::string job_key(const std::string& id);
+std::string chunk_key(const std::string& id, uint32_t chunk);
+std::string lease_key(int block);
+std::string machines_key(int block);
+std::string type_key(const std::string& name);
+inline const std::string kLeaderKey = "rk/lead";
+inline const std::string kTermKey = "rk/term";
+
+nlohmann::json encode_job(const Job& job);
+bool decode_job(const nlohmann::json& v, Job& job);
+nlohmann::json encode_chunk(const std::vector<TaskState>& tasks);
+bool decode_chunk(const nlohmann::json& v, size_t count, std::vector<TaskState>& tasks);
+nlohmann::json encode_lease(const BlockLease& lease);
+bool decode_lease(const nlohmann::json& v, BlockLease& lease);
+nlohmann::json encode_machines(const std::map<std::string, Machine>& machines);
+bool decode_machines(const nlohmann::json& v, int block, std::map<std::string, Machine>& machines);
+nlohmann::json encode_type(const MachineType& type);
+bool decode_type(const nlohmann::json& v, MachineType& type);
+
+nlohmann::json encode_spec(const JobSpec& spec);
+bool decode_spec(const nlohmann::json& v, JobSpec& spec);
+
+std::string task_name(const TaskRef& task);
+std::optional<TaskRef> parse_task_name(const std::string& name);
+bool valid_job_id(const std::string& id);
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/core.h
@@ -0,0 +1,54 @@
+// The deterministic core of a controller: commands and the time in, effects out. No I/O.
+#pragma once
+
+#include "rooksill/api/users.h"
+#include "rooksill/cloud/fleet.h"
+#include "rooksill/core/context.h"
+#include "rooksill/core/holder.h"
+#include "rooksill/core/leader.h"
+#include "rooksill/core/peers.h"
+#include "rooksill/core/replica.h"
+#include "rooksill/state/client.h"
+#include "rooksill/state/committer.h"
+#include "rooksill/state/syncer.h"
+
+namespace rooksill::core {
+
+class Core {
+ public:
+  // `wall` at the start becomes part of the incarnation.
+  Core(const Settings& settings, uint64_t seed, double wall, bool debug);
+
+  // Works through a batch; what is to be done outside is then in effects().
+  void run(const std::vector<Command>& batch, Time now);
+  Effects& effects() { return ctx_.out; }
+
+  static constexpr double kTick = 0.05;  // longest pause between two batches
+
+  bool ready() const;
+  bool leading() const { return leader_.leading(); }
+  const Replica& replica() const { return replica_; }
+  const Holder& holder() const { return holder_; }
+
+ private:
+  void on_request(const Request& r);
+  void on_peer(const PeerMessage& m);
+  void tick();
+  void send_beat();
+  std::map<std::string, net::MachineView> views();
+
+  Context ctx_;
+  Replica replica_;
+  state::Client client_;
+  state::Committer committer_;
+  state::Syncer syncer_;
+  Peers peers_;
+  Holder holder_;
+  cloud::Fleet fleet_;
+  Leader leader_;
+  api::Users users_;
+  double next_beat_ = 0, next_leader_ = 0;
+  bool routed_dirty_ = true;
+};
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/holder.cc
@@ -0,0 +1,636 @@
+#include "rooksill/core/holder.h"
+
+#include <algorithm>
+
+#include "rooksill/core/codec.h"
+#include "rooksill/placement/grants.h"
+
+namespace rooksill::core {
+
+using state::Outcome;
+using worker::Cause;
+using worker::Order;
+using worker::Phase;
+
+namespace {
+constexpr int kMaxInFlight = 2;
+constexpr double kBackoff = 0.15;         // after the state refused
+constexpr double kProbeReports = 1.35;    // silence, in reports, after which a machine is asked
+constexpr double kCommandReports = 0.5;   // patience with a direct command, in reports
+constexpr int kSuspectJob = 3;            // machines a job must fail on to be suspected itself
+constexpr int kSuspectMachine = 3;        // failures in a row that make a machine suspect
+constexpr double kMaxBackoffReports = 10;
+}  // namespace
+
+Holder::Holder(Context& ctx, Replica& replica, state::Committer& committer)
+    : ctx_(ctx), replica_(replica), committer_(committer) {}
+
+bool Holder::holds(int block) const { return held_.count(block) != 0; }
+
+std::vector<int> Holder::blocks() const { return {held_.begin(), held_.end()}; }
+
+bool Holder::backing_off(const std::string& job) const {
+  auto it = troubles_.find(job);
+  return it != troubles_.end() && it->second.retry_at > ctx_.now.steady;
+}
+
+std::optional<net::Sighting> Holder::take_sighting() { return std::exchange(sighting_, {}); }
+
+// ---- leases --------------------------------------------------------------------------------
+
+void Holder::activate(int block) {
+  held_.insert(block);
+  const BlockLease& lease = replica_.leases[static_cast<size_t>(block)];
+  ctx_.info("holder", "block {} taken, token {}", block, lease.token);
+  for (auto it = workers_.begin(); it != workers_.end();)
+    it = it->second.block == block ? workers_.erase(it) : std::next(it);
+}
+
+void Holder::tick() {
+  const auto& label = ctx_.settings.platform.label;
+  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
+    const BlockLease& lease = replica_.leases[static_cast<size_t>(b)];
+    const bool mine = lease.holder == label && lease.incarnation == ctx_.incarnation;
+    // Whatever the former holder wrote has a lower revision than the lease; it must be known
+    // here before a worker's tasks are judged.
+    if (mine && !holds(b) && replica_.synced_epoch >= lease.stamp) {
+      activate(b);
+    } else if (!mine && holds(b)) {
+      ctx_.info("holder", "block {} given up, now with {}", b, lease.holder);
+      held_.erase(b);
+      for (auto it = workers_.begin(); it != workers_.end();)
+        it = it->second.block == b ? workers_.erase(it) : std::next(it);
+    }
+  }
+  for (const auto& [name, m] : replica_.machines) {
+    if (!holds(m.block) || workers_.count(name) != 0) continue;
+    Worker w;
+    w.name = name;
+    w.block = m.block;
+    w.token = replica_.leases[static_cast<size_t>(m.block)].token << kTokenShift;
+    w.dirty = w.token - 1;  // any former holder's command may still be under way
+    w.last_heard = w.activated = ctx_.now.steady;
+    auto a = addresses_.find(name);
+    if (a != addresses_.end()) w.address = a->second;
+    workers_.emplace(name, std::move(w));
+  }
+  size_t up = 0, silent = 0;
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    Worker& w = it->second;
+    if (replica_.machine_gone(w.name)) {
+      it = workers_.erase(it);
+      continue;
+    }
+    probe(w);
+    const double age = ctx_.now.steady - w.last_heard;
+    if (w.reported || !replica_.placed_on(w.name).empty()) {
+      ++up;
+      if (w.probe_failed && age > kProbeReports * ctx_.settings.platform.report_s) ++silent;
+    }
+    ++it;
+  }
+  // One silent machine is its own trouble; nearly all of them at once are likelier ours.
+  const bool suspects = silent >= 2 && silent * 10 >= up * 8;
+  if (suspects && !suspects_itself_)
+    ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
+  suspects_itself_ = suspects;
+  sweep_gone();
+  if (ctx_.now.steady > 0 && evicted_.size() > 0) {
+    for (auto it = evicted_.begin(); it != evicted_.end();) {
+      const TaskState* t = replica_.task(it->first);
+      it = t == nullptr || t->machine.empty() || t->attempt != it->second ? evicted_.erase(it)
+                                                                           : std::next(it);
+    }
+  }
+}
+
+// A machine that is in no block any more is gone for certain, and its tasks with it. The leader
+// alone writes that: its key guards it, since another node's list of machines may be old.
+void Holder::sweep_gone() {
+  const auto& p = ctx_.settings.platform;
+  if (replica_.leader.label != p.label || replica_.leader.incarnation != ctx_.incarnation) return;
+  if (replica_.synced_epoch < replica_.leader.stamp) return;
+  for (const auto& name : replica_.placed_machines()) {
+    if (!replica_.machine_gone(name)) continue;
+    for (const auto& ref : replica_.placed_on(name)) {
+      const TaskState* t = replica_.task(ref);
+      if (!changing(ref)) change(ref, {Change::Kind::kLost, name, t->attempt, -1});
+    }
+  }
+}
+
+void Holder::probe(Worker& w) {
+  const double report = ctx_.settings.platform.report_s;
+  const double age = ctx_.now.steady - w.last_heard;
+  if (age < kProbeReports * report) {
+    w.probe_failed = false;
+    return;
+  }
+  if (w.probing || w.address.empty() || ctx_.now.steady < w.next_probe) {
+    if (w.address.empty() && age > 2 * report) w.probe_failed = true;
+    return;
+  }
+  w.probing = true;
+  w.next_probe = ctx_.now.steady + report / 3;
+  ctx_.call(Target::kWorker, w.address, "GET", "/inspect", "", report / 3,
+            [this, name = w.name](const CallDone& done) {
+              auto it = workers_.find(name);
+              if (it == workers_.end()) return;
+              it->second.probing = false;
+              auto r = done.status == 200 ? worker::parse_report(done.body) : std::nullopt;
+              if (!r || r->machine != name) {
+                it->second.probe_failed = true;
+                return;
+              }
+              take_report(it->second, *r);
+            });
+}
+
+// ---- reports -------------------------------------------------------------------------------
+
+void Holder::note_address(const std::string& machine, const std::string& address) {
+  if (address.empty()) return;
+  addresses_[machine] = address;
+  auto it = workers_.find(machine);
+  if (it != workers_.end() && it->second.address.empty()) it->second.address = address;
+}
+
+void Holder::report(uint64_t request, const std::string& body) {
+  auto r = worker::parse_report(body);
+  if (!r) return ctx_.reply(request, 400, "{}");
+  if (!replica_.synced) return ctx_.reply(request, 503, "{}", 1);
+  const Machine* m = replica_.machine(r->machine);
+  const auto& p = ctx_.settings.platform;
+  note_address(r->machine, r->address);
+  if (m == nullptr) {
+    sighting_ = net::Sighting{r->machine, r->address, r->type, r->zone, r->spot};
+    const bool lead = replica_.leader.label == p.label;
+    return ctx_.reply(request, 421, worker::encode_redirect(lead ? "" : replica_.leader.label));
+  }
+  auto it = workers_.find(r->machine);
+  if (!holds(m->block) || it == workers_.end()) {
+    const BlockLease& lease = replica_.leases[static_cast<size_t>(m->block)];
+    if (lease.holder == p.label) return ctx_.reply(request, 503, "{}", 1);
+    return ctx_.reply(request, 421, worker::encode_redirect(lease.holder));
+  }
+  Worker& w = it->second;
+  // A higher token than ours: somebody else is entitled. A 200 would burn the worker's lease.
+  if (r->token > w.token) {
+    ctx_.info("holder", "machine {} has token {} above ours {}", w.name, r->token, w.token);
+    return ctx_.reply(request, 421, "{}");
+  }
+  w.address = r->address;
+  take_report(w, *r);
+  std::vector<Order> orders;
+  reconcile(w, &orders);
+  // Starts go out as direct commands only: an answer that arrives late could start what has been
+  // moved since.
+  std::erase_if(orders, [](const Order& o) { return o.op == Order::Op::kStart; });
+  ctx_.reply(request, 200, worker::encode_answer(w.token, orders));
+}
+
+void Holder::take_report(Worker& w, const worker::Report& r) {
+  // Late copies of older reports carry older task lists.
+  if (w.reported && std::pair(r.session, r.seq) <= std::pair(w.session, w.seq)) return;
+  if (!w.reported || r.session != w.session)
+    ctx_.info("holder", "machine {} reports: session {} token {} tasks {}", w.name, r.session,
+              r.token, r.tasks.size());
+  w.reported = true;
+  w.session = r.session;
+  w.seq = r.seq;
+  w.reported_token = r.token;
+  w.last_heard = ctx_.now.steady;
+  w.probe_failed = false;
+  w.tasks = r.tasks;
+  if (r.notice_s && !w.notice_until) {
+    w.notice_until = ctx_.now.steady + *r.notice_s;
+    ctx_.info("holder", "machine {} will be taken in {:.1f} s", w.name, *r.notice_s);
+  }
+  note_images(w);
+  reconcile(w, nullptr);
+}
+
+void Holder::note_images(Worker& w) {
+  const Machine* m = replica_.machine(w.name);
+  for (const auto& t : w.tasks) {
+    if (t.phase != Phase::kRunning) continue;
+    const Job* j = replica_.job(t.task.job);
+    if (j == nullptr) continue;
+    auto it = std::find_if(w.images.begin(), w.images.end(),
+                           [&](const auto& i) { return i.first == j->spec.image; });
+    if (it != w.images.end()) {
+      w.images.splice(w.images.begin(), w.images, it);
+    } else {
+      w.images.emplace_front(j->spec.image, j->spec.image_gb);
+      w.image_gb += j->spec.image_gb;
+    }
+  }
+  auto type = m != nullptr ? replica_.types.find(m->type) : replica_.types.end();
+  if (type == replica_.types.end()) return;
+  while (w.image_gb > type->second.cache_gb && !w.images.empty()) {
+    w.image_gb -= w.images.back().second;
+    w.images.pop_back();
+  }
+}
+
+// A worker's word that a task is absent or ended counts only if no command from before can still
+// reach it: it has to have seen a higher token than the last unacknowledged command's.
+bool Holder::trusted(const Worker& w) const {
+  return w.reported && w.reported_token > std::max(w.dirty, w.sending);
+}
+
+// Compares what a worker reported with what the state says, and derives what follows.
+void Holder::reconcile(Worker& w, std::vector<Order>* orders) {
+  if (!w.reported || !holds(w.block)) return;
+  const bool sure = trusted(w);
+  std::set<TaskRef> matched;
+  auto order = [&](Order o) {
+    if (orders != nullptr) orders->push_back(std::move(o));
+  };
+  const bool draining = w.notice_until.has_value();
+  for (const auto& t : w.tasks) {
+    const TaskState* s = replica_.task(t.task);
+    const bool ours = s != nullptr && !s->done && s->machine == w.name && s->attempt == t.attempt;
+    if (!ours) {
+      if (t.phase == Phase::kExited) {
+        if (sure) order({Order::Op::kForget, t.task, t.attempt, 0});
+      } else {
+        order({Order::Op::kStop, t.task, t.attempt, 0});
+      }
+      continue;
+    }
+    matched.insert(t.task);
+    w.seen.insert({t.task, t.attempt});
+    if (changing(t.task)) continue;
+    const Job* job = replica_.job(t.task.job);
+    if (t.phase == Phase::kExited) {
+      if (t.cause == Cause::kDone) {
+        w.failures = 0;
+        w.failed_jobs.clear();
+        change(t.task, {Change::Kind::kDone, w.name, t.attempt, w.block});
+      } else if (sure) {
+        lost(w, t);
+      }
+      continue;
+    }
+    if (job->over()) {
+      order({Order::Op::kStop, t.task, t.attempt, 0});
+    } else if (t.phase != Phase::kSaving) {
+      auto e = evicted_.find(t.task);
+      const bool evicted = e != evicted_.end() && e->second == t.attempt;
+      const bool save = draining && job->spec.checkpoint_s > 0 && t.phase == Phase::kRunning;
+      if (evicted || save)
+        order({Order::Op::kStop, t.task, t.attempt, job->spec.save_s});
+    }
+  }
+  for (const auto& ref : replica_.placed_on(w.name)) {
+    if (matched.count(ref) != 0 || changing(ref)) continue;
+    const TaskState* s = replica_.task(ref);
+    const Job* job = replica_.job(ref.job);
+    const bool was_here = w.seen.count({ref, s->attempt}) != 0;
+    if (was_here || job->over()) {
+      // Gone: the session ended, or it was never started and must not be.
+      if (sure) change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
+    } else if (!draining) {
+      order({Order::Op::kStart, ref, s->attempt, 0});
+    } else if (sure) {
+      change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
+    }
+  }
+  if (w.seen.size() > 4 * (w.tasks.size() + 16))
+    std::erase_if(w.seen, [&](const auto& s) {
+      const TaskState* t = replica_.task(s.first);
+      return t == nullptr || t->machine != w.name || t->attempt != s.second;
+    });
+}
+
+void Holder::lost(Worker& w, const worker::ReportedTask& t) {
+  ctx_.debug("holder", "task {} attempt {} ended on {}: cause {}", task_name(t.task), t.attempt,
+             w.name, static_cast<int>(t.cause));
+  if (t.cause == Cause::kError) {
+    note_failure(w, t.task.job);
+  } else if (t.cause != Cause::kStopped) {
+    w.avoid_until = ctx_.now.steady + ctx_.settings.platform.report_s / 3;
+  }
+  change(t.task, {Change::Kind::kLost, w.name, t.attempt, w.block});
+}
+
+// A machine on which task after task fails is returned; a job that fails on machine after machine
+// backs off by itself and is not held against them.
+void Holder::note_failure(Worker& w, const std::string& job) {
+  JobTrouble& trouble = troubles_[job];
+  trouble.machines.insert(w.name);
+  ++trouble.failures;
+  const double report = ctx_.settings.platform.report_s;
+  if (static_cast<int>(trouble.machines.size()) >= kSuspectJob) {
+    const double wait = std::min(kMaxBackoffReports, 0.5 * trouble.failures) * report;
+    trouble.retry_at = ctx_.now.steady + wait;
+    ctx_.info("holder", "job {} failed on {} machines: next try in {:.1f} s", job,
+              trouble.machines.size(), wait);
+    for (auto& [name, other] : workers_) {
+      if (other.failed_jobs.erase(job) == 0) continue;
+      other.failures = std::max(0, other.failures - 1);
+    }
+    return;
+  }
+  ++w.failures;
+  w.failed_jobs.insert(job);
+  w.avoid_until = ctx_.now.steady + report * w.failures;
+  if (!w.bad && w.failures >= kSuspectMachine && w.failed_jobs.size() >= 2) {
+    w.bad = true;
+    ctx_.info("holder", "machine {} fails task after task: to be returned", w.name);
+  }
+}
+
+// ---- changes of state ----------------------------------------------------------------------
+
+bool Holder::changing(const TaskRef& task) const {
+  auto it = work_.find({task.job, task.index / kChunkTasks});
+  if (it == work_.end()) return false;
+  const uint32_t i = task.index % kChunkTasks;
+  return it->second.waiting.count(i) != 0 || it->second.sent.count(i) != 0;
+}
+
+void Holder::change(const TaskRef& task, Change c) {
+  work_[{task.job, task.index / kChunkTasks}].waiting.insert(
+      {task.index % kChunkTasks, std::move(c)});
+}
+
+bool Holder::apply_change(const Job& job, const TaskRef& ref, TaskState& s, const Change& c) const {
+  (void)ref;
+  if (c.block >= 0 && !holds(c.block)) return false;
+  if (c.kind == Change::Kind::kPlace) {
+    if (job.over() || s.done || !s.machine.empty() || s.attempt + 1 != c.attempt) return false;
+    if (replica_.machine_gone(c.machine)) return false;
+    s.machine = c.machine;
+    s.attempt = c.attempt;
+    return true;
+  }
+  if (s.done || s.machine != c.machine || s.attempt != c.attempt) return false;
+  s.machine.clear();
+  s.done = c.kind == Change::Kind::kDone;
+  return true;
+}
+
+void Holder::flush() {
+  for (int i = in_flight_; i < kMaxInFlight; ++i) {
+    const int before = in_flight_;
+    flush_group();
+    if (in_flight_ == before) break;
+  }
+}
+
+void Holder::flush_group() {
+  if (in_flight_ >= kMaxInFlight || ctx_.now.steady < backoff_until_) return;
+  const auto& p = ctx_.settings.platform;
+  const size_t most = std::max<size_t>(
+      2, std::min<size_t>(p.state_txn_ops,
+                          static_cast<size_t>(p.state_write_rps / p.controllers * 0.6)));
+  std::map<std::string, uint64_t> guards;
+  std::vector<state::Write> writes;
+  std::vector<ChunkId> chunks;
+  size_t bytes = 0;
+  // Results of reports come before decisions.
+  for (int rank = 0; rank < 2; ++rank) {
+    for (auto it = work_.begin(); it != work_.end();) {
+      const ChunkId id = it->first;
+      ChunkWork& work = it->second;
+      if (work.busy) {
+        ++it;
+        continue;
+      }
+      if (work.waiting.empty()) {
+        it = work_.erase(it);
+        continue;
+      }
+      ++it;
+      const bool has_result =
+          std::any_of(work.waiting.begin(), work.waiting.end(), [](const auto& c) {
+            return c.second.kind != Change::Kind::kPlace;
+          });
+      if (has_result != (rank == 0)) continue;
+      if (writes.size() + 2 > most || bytes > 40 * 1024) break;
+      const Job* job = replica_.job(id.first);
+      if (job == nullptr) {
+        work.waiting.clear();
+        continue;
+      }
+      const Chunk& chunk = job->chunks[id.second];
+      std::vector<TaskState> tasks = chunk.tasks;
+      std::map<std::string, uint64_t> extra;
+      bool places = false;
+      for (auto c = work.waiting.begin(); c != work.waiting.end();) {
+        const TaskRef ref{id.first, id.second * kChunkTasks + c->first};
+        if (!apply_change(*job, ref, tasks[c->first], c->second)) {
+          c = work.waiting.erase(c);
+          continue;
+        }
+        places = places || c->second.kind == Change::Kind::kPlace;
+        if (c->second.block >= 0)
+          extra[lease_key(c->second.block)] =
+              replica_.leases[static_cast<size_t>(c->second.block)].stamp;
+        else
+          extra[kLeaderKey] = replica_.leader.stamp;
+        ++c;
+      }
+      if (work.waiting.empty()) continue;
+      extra[chunk_key(id.first, id.second)] = chunk.stamp;
+      if (places) {
+        extra[job_key(id.first)] = job->stamp;
+        // Where a task may go depends on where the job's others are, in whatever chunk.
+        if (job->spec.spread || job->spec.one_zone)
+          for (uint32_t c = 0; c < job->chunks.size(); ++c)
+            extra[chunk_key(id.first, c)] = job->chunks[c].stamp;
+      }
+      uint32_t done = job->done - chunk.done;
+      for (const auto& t : tasks) done += t.done ? 1 : 0;
+      const bool finishes = done == job->spec.tasks && !job->over();
+      if (finishes) extra[job_key(id.first)] = job->stamp;
+      size_t fresh = 0;
+      for (const auto& [k, s] : extra) fresh += guards.count(k) == 0 ? 1 : 0;
+      if (guards.size() + fresh > p.state_txn_ops * 4 && !chunks.empty()) continue;
+      guards.insert(extra.begin(), extra.end());
+      auto value = encode_chunk(tasks);
+      bytes += value.dump().size() + 200;
+      writes.push_back({chunk_key(id.first, id.second), std::move(value), 0});
+      if (finishes) {
+        Job ended;
+        ended.spec = job->spec;
+        ended.submitted = job->submitted;
+        ended.end = JobEnd::kDone;
+        writes.push_back({job_key(id.first), encode_job(ended), 0});
+      }
+      work.sent = std::move(work.waiting);
+      work.waiting.clear();
+      work.busy = true;
+      chunks.push_back(id);
+    }
+  }
+  if (chunks.empty()) return;
+  std::vector<state::Guard> guard_list;
+  std::vector<std::string> keys;
+  for (const auto& [k, s] : guards) {
+    guard_list.push_back({k, s});
+    keys.push_back(k);
+  }
+  bool sent = committer_.commit(std::move(guard_list), std::move(writes),
+                                [this, chunks, keys](const state::TxnResult& r) {
+                                  --in_flight_;
+                                  settle(chunks, r, keys);
+                                });
+  if (sent) {
+    ++in_flight_;
+    return;
+  }
+  for (const auto& id : chunks) {
+    ChunkWork& work = work_[id];
+    work.waiting.merge(work.sent);
+    work.sent.clear();
+    work.busy = false;
+  }
+}
+
+void Holder::drop_sent(const std::vector<ChunkId>& chunks) {
+  for (const auto& id : chunks) {
+    ChunkWork& work = work_[id];
+    work.sent.clear();
+    work.busy = false;
+  }
+}
+
+void Holder::settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
+                    std::vector<std::string> keys) {
+  switch (result.outcome) {
+    case Outcome::kApplied: {
+      drop_sent(chunks);
+      return;
+    }
+    case Outcome::kRefused:
+    case Outcome::kNoLease:
+      backoff_until_ = ctx_.now.steady + kBackoff;
+      for (const auto& id : chunks) {
+        ChunkWork& work = work_[id];
+        // What was decided since stays; what was sent is tried again.
+        for (auto& c : work.sent) work.waiting.insert(c);
+        work.sent.clear();
+        work.busy = false;
+      }
+      return;
+    case Outcome::kConflict:
+      ctx_.debug("holder", "transaction of {} chunks failed on {}", chunks.size(),
+                 result.failed.empty() ? "" : result.failed.front());
+      committer_.refresh(result.failed, [this, chunks] {
+        // Nothing of what was decided on old knowledge is kept; it is derived anew.
+        drop_sent(chunks);
+      });
+      return;
+    case Outcome::kUnknown:
+      committer_.refresh(std::move(keys), [this, chunks] { drop_sent(chunks); });
+      return;
+  }
+}
+
+// ---- commands ------------------------------------------------------------------------------
+
+void Holder::push() {
+  for (auto& [name, w] : workers_) {
+    if (w.sending != 0 || w.address.empty() || ctx_.now.steady < w.next_push) continue;
+    if (!w.reported) {
+      // A block just taken: an empty command shows the worker our token and gets its report.
+      send(w, {}, true);
+      continue;
+    }
+    std::vector<Order> orders;
+    reconcile(w, &orders);
+    // Forgetting alone is not urgent: the next answer carries it. Before a start it is, since an
+    // older attempt that is still listed would make the worker refuse the new one.
+    if (std::none_of(orders.begin(), orders.end(),
+                     [](const Order& o) { return o.op != Order::Op::kForget; }))
+      continue;
+    if (orders.size() > 64) orders.resize(64);
+    send(w, std::move(orders), false);
+  }
+}
+
+void Holder::send(Worker& w, std::vector<Order> orders, bool even_if_empty) {
+  if (orders.empty() && !even_if_empty) return;
+  const double report = ctx_.settings.platform.report_s;
+  w.sending = w.token;
+  const bool starts = std::any_of(orders.begin(), orders.end(),
+                                  [](const Order& o) { return o.op == Order::Op::kStart; });
+  ctx_.debug("holder", "machine {}: {} orders, token {}", w.name, orders.size(), w.token);
+  ctx_.call(Target::kWorker, w.address, "POST", "/commands",
+            worker::encode_commands(w.token, std::max<uint64_t>(1, w.session), orders),
+            report * kCommandReports,
+            [this, name = w.name, token = w.token, starts, report](const CallDone& done) {
+              auto it = workers_.find(name);
+              if (it == workers_.end() || it->second.sending != token) return;
+              Worker& x = it->second;
+              x.sending = 0;
+              auto r = done.status == 200 || done.status == 409 ? worker::parse_report(done.body)
+                                                                : std::nullopt;
+              if (r && r->machine == name) {
+                if (done.status == 409) x.next_push = ctx_.now.steady + report / 30;
+                if (r->token > x.token) {
+                  ctx_.info("holder", "machine {} has token {} above ours {}", name, r->token,
+                            x.token);
+                  x.next_push = ctx_.now.steady + report;
+                  return;
+                }
+                take_report(x, *r);
+                return;
+              }
+              x.next_push = ctx_.now.steady + report / 3;
+              // Not acknowledged: it may still run later, unless a higher token gets there first.
+              if (starts && !done.refused) {
+                x.dirty = std::max(x.dirty, token);
+                x.token = std::max(x.token, token + 1);
+                ctx_.debug("holder", "machine {}: command unacknowledged, token now {}", name,
+                           x.token);
+              }
+            });
+}
+
+void Holder::routes(const net::Routes& r) {
+  if (r.term < routed_term_) return;
+  if (r.full) {
+    routed_.clear();
+    drain_.clear();
+  }
+  routed_term_ = r.term;
+  for (const auto& x : r.routes) routed_.insert({x.job, x.chunk});
+  drain_.insert(r.drain.begin(), r.drain.end());
+}
+
+std::vector<net::MachineView> Holder::views() {
+  std::vector<net::MachineView> out;
+  const double report = ctx_.settings.platform.report_s;
+  const double silence = ctx_.settings.operators.machine_silence_reports * report;
+  for (auto& [name, room] : rooms()) {
+    const Worker& w = *room.worker;
+    net::MachineView v;
+    v.name = name;
+    v.address = w.address;
+    v.up = w.reported;
+    v.draining = drain_.count(name) != 0;
+    const double age = ctx_.now.steady - w.last_heard;
+    const bool expected = w.reported || !replica_.placed_on(name).empty();
+    v.silent = expected && w.probe_failed && age > silence;
+    if (w.notice_until && age > kProbeReports * report && w.probe_failed) v.silent = true;
+    v.bad = w.bad;
+    v.warned = w.notice_until.has_value();
+    v.cpus_free = room.open ? room.cpus : 0;
+    v.gpus_free = room.gpus;
+    v.memory_free = room.memory;
+    v.tasks = room.tasks;
+    if (room.type != nullptr && room.type->cpus > 0) {
+      v.load = std::max(1 - room.cpus / room.type->cpus,
+                        room.type->memory_gb > 0 ? 1 - room.memory / room.type->memory_gb : 0);
+    }
+    for (const auto& [image, gb] : w.images) v.images.push_back(image);
+    out.push_back(std::move(v));
+  }
+  return out;
+}
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/leader.cc
@@ -0,0 +1,422 @@
+#include "rooksill/core/leader.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "rooksill/core/codec.h"
+
+namespace rooksill::core {
+
+using nlohmann::json;
+using state::Outcome;
+
+namespace {
+constexpr double kSafety = 0.9;        // part of a lease's time that its owner counts on
+constexpr double kRerouteReports = 1;  // how long a chunk waits in a block before another is tried
+constexpr double kSettleReports = 2;   // how long a peer must be back before it holds blocks again
+}  // namespace
+
+Leader::Leader(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
+               Peers& peers, Holder& holder, cloud::Fleet& fleet)
+    : ctx_(ctx), replica_(replica), client_(client), committer_(committer), peers_(peers),
+      holder_(holder), fleet_(fleet) {}
+
+bool Leader::leading() const {
+  return leading_ && ctx_.now.steady < valid_until_ &&
+         replica_.leader.label == ctx_.settings.platform.label &&
+         replica_.leader.incarnation == ctx_.incarnation &&
+         replica_.synced_epoch >= replica_.leader.stamp;
+}
+
+bool Leader::absent() const {
+  if (leading()) return false;
+  for (const auto& [label, p] : peers_.all())
+    if (p.beat.term > 0 && ctx_.now.steady - p.last_heard < peers_.silence() / 2) return false;
+  return true;
+}
+
+// ---- election ------------------------------------------------------------------------------
+
+void Leader::elect() {
+  const double ttl =
+      ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
+  const double now = ctx_.now.steady;
+  if (!replica_.synced) return;
+  if (leading_) {
+    const bool ours = replica_.leader.label == ctx_.settings.platform.label &&
+                      replica_.leader.incarnation == ctx_.incarnation;
+    if (now >= valid_until_ || !ours) return resign("lease ended");
+    if (peers_.last_heard_any() > term_started_) heard_peer_ = true;
+    // A leader that hears nobody may be cut off while its lease holds; the others cannot know.
+    if (heard_peer_ && now - peers_.last_heard_any() > 2 * peers_.silence()) {
+      heard_peer_ = false;
+      return resign("no other controller is heard");
+    }
+    if (!renewing_ && now >= next_renewal_) renew();
+    return;
+  }
+  if (replica_.leader.stamp != 0) {
+    vacant_since_ = 0;
+    return;
+  }
+  if (vacant_since_ == 0) {
+    vacant_since_ = now;
+    next_try_ = now + ctx_.uniform(0, ttl / 20);
+  }
+  // One that hears nobody stands back for a while, for those that hear one another.
+  const bool alone = !peers_.all().empty() && now - peers_.last_heard_any() > peers_.silence();
+  if (alone && now - vacant_since_ < ttl) return;
+  if (!electing_ && now >= next_try_) stand();
+}
+
+void Leader::stand() {
+  const double ttl =
+      ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
+  const int ttl_ms = static_cast<int>(std::clamp(ttl * 1000, 100.0, 600000.0));
+  const double asked = ctx_.now.steady;
+  next_try_ = asked + ttl / 5 + ctx_.uniform(0, ttl / 10);
+  electing_ = client_.raw(
+      "POST", "/grants", json{{"ttl_ms", ttl_ms}}.dump(), 1, [this, ttl, asked](const CallDone& d) {
+        json j = d.status == 200 ? json::parse(d.body, nullptr, false) : json();
+        if (!j.is_object() || !j.contains("hold") || !j["hold"].is_number_unsigned() ||
+            replica_.leader.stamp != 0) {
+          electing_ = false;
+          return;
+        }
+        const uint64_t hold = j["hold"];
+        const uint64_t term = replica_.term + 1;
+        json value{{"h", ctx_.settings.platform.label}, {"i", ctx_.incarnation}, {"t", term}};
+        bool sent = committer_.commit(
+            {{kLeaderKey, 0}, {kTermKey, replica_.term_stamp}},
+            {{kLeaderKey, value, hold}, {kTermKey, json{{"t", term}}, 0}},
+            [this, hold, term, asked, ttl](const state::TxnResult& r) {
+              electing_ = false;
+              if (r.outcome == Outcome::kApplied) {
+                leading_ = true;
+                heard_peer_ = false;
+                term_ = term;
+                lease_ = hold;
+                valid_until_ = asked + ttl * kSafety;
+                next_renewal_ = ctx_.now.steady + ttl / 4;
+                term_started_ = ctx_.now.steady;
+                routes_.clear();
+                leasing_.clear();
+                finishing_.clear();
+                gave_up_.clear();
+                next_full_routes_ = 0;
+                ctx_.info("leader", "leading in term {}", term);
+                fleet_.start_term(term);
+                return;
+              }
+              // Whatever became of it, the lease is given back, and the key with it.
+              client_.raw("DELETE", "/grants/" + std::to_string(hold), "", 1,
+                          [](const CallDone&) {});
+              if (r.outcome == Outcome::kConflict)
+                committer_.refresh({kTermKey, kLeaderKey}, [] {});
+            });
+        if (!sent) electing_ = false;
+      });
+}
+
+void Leader::renew() {
+  const double ttl =
+      ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
+  const double asked = ctx_.now.steady;
+  renewing_ = client_.raw("POST", "/grants/" + std::to_string(lease_) + "/touch", "", ttl / 4,
+                          [this, asked, ttl, lease = lease_](const CallDone& d) {
+                            renewing_ = false;
+                            if (!leading_ || lease != lease_) return;
+                            next_renewal_ = ctx_.now.steady + ttl / (d.status == 200 ? 4 : 12);
+                            if (d.status == 200) valid_until_ = asked + ttl * kSafety;
+                            if (d.status == 404) resign("lease is gone");
+                          });
+}
+
+void Leader::resign(const std::string& why) {
+  ctx_.info("leader", "term {} ends here: {}", term_, why);
+  leading_ = false;
+  renewing_ = false;
+  fleet_.stop();
+  client_.raw("DELETE", "/grants/" + std::to_string(lease_), "", 1, [](const CallDone&) {});
+  vacant_since_ = 0;
+}
+
+// ---- leases of blocks ----------------------------------------------------------------------
+
+uint64_t Leader::incarnation_of(const std::string& label) const {
+  if (label == ctx_.settings.platform.label) return ctx_.incarnation;
+  const Peer* p = peers_.find(label);
+  return p != nullptr ? p->incarnation : 0;
+}
+
+bool Leader::fit_to_hold(const std::string& label) const {
+  if (label == ctx_.settings.platform.label) return !holder_.suspects_itself();
+  if (!peers_.alive(label)) return false;
+  const net::Beat& b = peers_.find(label)->beat;
+  return b.ready && b.state_ok && !b.suspects_itself;
+}
+
+void Leader::lease(int block, const std::string& label, uint64_t incarnation,
+                   const std::string& why) {
+  if (leasing_.count(block) != 0) return;
+  BlockLease next;
+  next.holder = label;
+  next.incarnation = incarnation;
+  for (const auto& l : replica_.leases) next.token = std::max(next.token, l.token);
+  ++next.token;
+  const auto key = lease_key(block);
+  bool sent = committer_.commit(
+      {{kLeaderKey, replica_.leader.stamp},
+       {key, replica_.leases[static_cast<size_t>(block)].stamp}},
+      {{key, encode_lease(next), 0}}, [this, block, key](const state::TxnResult& r) {
+        if (r.outcome == Outcome::kConflict || r.outcome == Outcome::kUnknown) {
+          committer_.refresh({key}, [this, block] { leasing_.erase(block); });
+          return;
+        }
+        leasing_.erase(block);
+      });
+  if (!sent) return;
+  leasing_.insert(block);
+  ctx_.info("leader", "block {} leased to {} with token {} ({})", block, label, next.token, why);
+}
+
+void Leader::lease_blocks() {
+  const auto labels = ctx_.settings.platform.labels();
+  const double settle = kSettleReports * ctx_.settings.platform.report_s;
+  std::map<std::string, int> held;
+  std::vector<std::string> fit;
+  for (const auto& l : labels)
+    if (fit_to_hold(l)) {
+      fit.push_back(l);
+      held[l] = 0;
+    }
+  // Where every node sees silence it is the machines that are silent.
+  if (fit.empty())
+    for (const auto& l : labels)
+      if (l == ctx_.settings.platform.label || peers_.alive(l)) fit.push_back(l);
+  if (fit.empty()) return;
+  for (const auto& l : replica_.leases) ++held[l.holder];
+  auto least = [&] {
+    return *std::min_element(fit.begin(), fit.end(), [&](const auto& a, const auto& b) {
+      return held[a] < held[b];
+    });
+  };
+  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
+    const BlockLease& l = replica_.leases[static_cast<size_t>(b)];
+    const bool current = std::find(fit.begin(), fit.end(), l.holder) != fit.end() &&
+                         l.incarnation == incarnation_of(l.holder);
+    const std::string& home = labels[static_cast<size_t>(b) % labels.size()];
+    if (!current) {
+      const std::string to = least();
+      ++held[to];
+      const Peer* p = peers_.find(l.holder);
+      const bool suspects = l.holder == ctx_.settings.platform.label
+                                ? holder_.suspects_itself()
+                                : p != nullptr && p->beat.suspects_itself;
+      if (suspects) gave_up_[b] = ctx_.now.steady;
+      lease(b, to, incarnation_of(to), l.holder.empty() ? "first lease" : "holder is not fit");
+      continue;
+    }
+    if (home == l.holder || std::find(fit.begin(), fit.end(), home) == fit.end()) continue;
+    const Peer* p = peers_.find(home);
+    const double back = p != nullptr ? p->first_heard : term_started_;
+    if (held[l.holder] > 1 && held[home] == 0 && ctx_.now.steady - back > settle)
+      lease(b, home, incarnation_of(home), "its own holder is back");
+  }
+}
+
+// Blocks whose holder saw nearly all machines fall silent: it may be the holder's own trouble. The
+// next holder's word is taken.
+std::set<int> Leader::suspect_blocks() {
+  std::set<int> out;
+  const double report = ctx_.settings.platform.report_s;
+  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
+    const std::string& holder = replica_.leases[static_cast<size_t>(b)].holder;
+    const Peer* p = peers_.find(holder);
+    const bool suspects = holder == ctx_.settings.platform.label
+                              ? holder_.suspects_itself()
+                              : p == nullptr || p->beat.suspects_itself;
+    auto g = gave_up_.find(b);
+    const bool second = g != gave_up_.end() && ctx_.now.steady - g->second < 20 * report;
+    if (suspects && !second) out.insert(b);
+  }
+  return out;
+}
+
+// ---- routing -------------------------------------------------------------------------------
+
+int Leader::choose_block(const Job& job, uint32_t chunk,
+                         const std::map<std::string, net::MachineView>& views) {
+  const JobSpec& s = job.spec;
+  const size_t blocks = replica_.leases.size();
+  std::vector<double> score(blocks);
+  std::map<std::string, uint32_t> zones;
+  std::string only_zone = s.zone;
+  for (const auto& c : job.chunks)
+    for (const auto& t : c.tasks)
+      if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine)) {
+        score[static_cast<size_t>(m->block)] += 0.5;
+        ++zones[m->zone];
+        if (s.one_zone) only_zone = m->zone;
+      }
+  const Chunk& c = job.chunks[chunk];
+  const double wanted = static_cast<double>(c.tasks.size()) - c.done - c.placed;
+  std::vector<std::map<std::string, double>> per_zone(blocks);
+  std::vector<double> cached(blocks);
+  for (const auto& [name, v] : views) {
+    const Machine* m = replica_.machine(name);
+    if (m == nullptr || !v.up || v.cpus_free <= 0) continue;
+    if (m->spot && !s.spot) continue;
+    if (!only_zone.empty() && m->zone != only_zone) continue;
+    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), m->type) == s.types.end())
+      continue;
+    if (s.spread && zones[m->zone] >= (s.tasks + 1) / 2) continue;
+    double slots = wanted;
+    if (s.cpus > 0) slots = std::min(slots, std::floor(v.cpus_free / s.cpus + 1e-9));
+    if (s.memory_gb > 0) slots = std::min(slots, std::floor(v.memory_free / s.memory_gb + 1e-9));
+    if (s.gpus > 0) slots = std::min(slots, std::floor(v.gpus_free / s.gpus + 1e-9));
+    if (slots <= 0) continue;
+    const auto b = static_cast<size_t>(m->block);
+    const double weight = s.spot && !m->spot ? 0.3 : 1;
+    per_zone[b][m->zone] += slots * weight;
+    if (std::find(v.images.begin(), v.images.end(), s.image) != v.images.end())
+      cached[b] += slots * weight;
+  }
+  for (size_t b = 0; b < blocks; ++b) {
+    double fit = 0;
+    for (const auto& [zone, n] : per_zone[b])
+      fit += s.spread ? std::min(n, static_cast<double>((s.tasks + 1) / 2 - zones[zone])) : n;
+    score[b] += 10 * std::min(fit, wanted) + 5 * std::min(cached[b], wanted) +
+                0.01 * std::min(fit, 100.0);
+    // Among equals, jobs are dealt out evenly.
+    score[b] += 0.001 * static_cast<double>((std::hash<std::string>{}(s.id) + chunk + b) % blocks);
+  }
+  return static_cast<int>(std::max_element(score.begin(), score.end()) - score.begin());
+}
+
+void Leader::route_now(const std::map<std::string, net::MachineView>& views) {
+  if (!leading()) return;
+  const double now = ctx_.now.steady;
+  const double patience = kRerouteReports * ctx_.settings.platform.report_s;
+  std::map<int, std::vector<net::Route>> fresh;
+  std::set<ChunkId> open;
+  for (const auto& id : replica_.open_jobs) {
+    const Job& job = *replica_.job(id);
+    if (replica_.unplaced(job) == 0) continue;
+    int together = -1;
+    for (uint32_t c = 0; c < job.chunks.size(); ++c) {
+      const Chunk& chunk = job.chunks[c];
+      if (chunk.done + chunk.placed >= chunk.tasks.size()) continue;
+      const ChunkId key{id, c};
+      open.insert(key);
+      auto it = routes_.find(key);
+      int block;
+      if (it != routes_.end() && now - it->second.since < patience) {
+        block = it->second.block;
+      } else if (together >= 0) {
+        block = together;
+      } else {
+        block = choose_block(job, c, views);
+      }
+      // One block at a time decides for a job whose tasks depend on each other's places.
+      if (job.spec.one_zone || job.spec.spread) together = block;
+      if (it != routes_.end() && it->second.block == block) {
+        if (now - it->second.since >= patience) it->second.since = now;
+        continue;
+      }
+      routes_[key] = {block, now};
+      fresh[block].push_back({id, c});
+    }
+  }
+  std::erase_if(routes_, [&](const auto& r) { return open.count(r.first) == 0; });
+  const bool full = now >= next_full_routes_;
+  if (!full && fresh.empty()) return;
+  if (full) next_full_routes_ = now + ctx_.settings.platform.report_s / 6;
+  std::map<std::string, net::Routes> messages;
+  for (const auto& label : ctx_.settings.platform.labels()) {
+    net::Routes& m = messages[label];
+    m.term = term_;
+    m.full = full;
+    m.drain.assign(fleet_.draining().begin(), fleet_.draining().end());
+  }
+  if (full) {
+    for (const auto& [key, r] : routes_)
+      messages[replica_.leases[static_cast<size_t>(r.block)].holder].routes.push_back(
+          {key.first, key.second});
+  } else {
+    for (const auto& [block, routes] : fresh) {
+      auto& to = messages[replica_.leases[static_cast<size_t>(block)].holder].routes;
+      to.insert(to.end(), routes.begin(), routes.end());
+    }
+  }
+  for (auto& [label, m] : messages) {
+    if (!full && m.routes.empty()) continue;
+    if (label == ctx_.settings.platform.label)
+      holder_.routes(m);
+    else if (!label.empty())
+      peers_.send(label, net::PeerKind::kRoutes, net::pack(m));
+  }
+}
+
+std::vector<cloud::Waiting> Leader::waiting() {
+  std::vector<cloud::Waiting> out;
+  std::map<ChunkId, double> since;
+  const double now = ctx_.now.steady;
+  for (const auto& id : replica_.open_jobs) {
+    const Job& job = *replica_.job(id);
+    if (replica_.unplaced(job) == 0 || holder_.backing_off(id)) continue;
+    uint32_t count = 0;
+    for (uint32_t c = 0; c < job.chunks.size(); ++c) {
+      const Chunk& chunk = job.chunks[c];
+      const auto left = static_cast<uint32_t>(chunk.tasks.size()) - chunk.done - chunk.placed;
+      if (left == 0) continue;
+      auto it = waiting_since_.find({id, c});
+      const double from = since[{id, c}] = it != waiting_since_.end() ? it->second : now;
+      // What has just come is being placed; only what found no room counts.
+      if (now - from > ctx_.settings.platform.report_s / 6) count += left;
+    }
+    if (count > 0) out.push_back({&job, count});
+  }
+  waiting_since_ = std::move(since);
+  std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+    if (a.job->spec.priority != b.job->spec.priority)
+      return a.job->spec.priority > b.job->spec.priority;
+    return a.job->submitted < b.job->submitted;
+  });
+  return out;
+}
+
+// Two holders may finish the last tasks of a job at once, each without seeing the other's.
+void Leader::finish_jobs() {
+  for (const auto& id : replica_.open_jobs) {
+    const Job& job = *replica_.job(id);
+    if (!job.finished_tasks() || finishing_.count(id) != 0) continue;
+    Job ended;
+    ended.spec = job.spec;
+    ended.submitted = job.submitted;
+    ended.end = JobEnd::kDone;
+    bool sent = committer_.commit({{job_key(id), job.stamp}},
+                                  {{job_key(id), encode_job(ended), 0}},
+                                  [this, id](const state::TxnResult& r) {
+                                    if (r.outcome == Outcome::kApplied ||
+                                        r.outcome == Outcome::kRefused) {
+                                      finishing_.erase(id);
+                                      return;
+                                    }
+                                    committer_.refresh({job_key(id)},
+                                                       [this, id] { finishing_.erase(id); });
+                                  });
+    if (sent) finishing_.insert(id);
+  }
+}
+
+void Leader::tick(const std::map<std::string, net::MachineView>& views) {
+  elect();
+  if (!leading()) return;
+  lease_blocks();
+  finish_jobs();
+  fleet_.tick(views, waiting(), suspect_blocks());
+  route_now(views);
+}
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/leader.h
@@ -0,0 +1,63 @@
+// Leadership: the election over a state lease, the leasing of blocks, the routing of jobs.
+#pragma once
+
+#include "rooksill/cloud/fleet.h"
+#include "rooksill/core/context.h"
+#include "rooksill/core/holder.h"
+#include "rooksill/core/peers.h"
+#include "rooksill/core/replica.h"
+#include "rooksill/state/committer.h"
+
+namespace rooksill::core {
+
+class Leader {
+ public:
+  Leader(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
+         Peers& peers, Holder& holder, cloud::Fleet& fleet);
+
+  void tick(const std::map<std::string, net::MachineView>& views);
+  void route_now(const std::map<std::string, net::MachineView>& views);
+  bool leading() const;
+  // Nobody has been heard leading for a while: holders go on by themselves.
+  bool absent() const;
+  uint64_t term() const { return leading() ? term_ : 0; }
+
+ private:
+  void elect();
+  void stand();
+  void renew();
+  void resign(const std::string& why);
+  void lease_blocks();
+  void lease(int block, const std::string& label, uint64_t incarnation, const std::string& why);
+  bool fit_to_hold(const std::string& label) const;
+  uint64_t incarnation_of(const std::string& label) const;
+  std::set<int> suspect_blocks();
+  std::vector<cloud::Waiting> waiting();
+  void finish_jobs();
+  int choose_block(const Job& job, uint32_t chunk,
+                   const std::map<std::string, net::MachineView>& views);
+
+  Context& ctx_;
+  Replica& replica_;
+  state::Client& client_;
+  state::Committer& committer_;
+  Peers& peers_;
+  Holder& holder_;
+  cloud::Fleet& fleet_;
+
+  bool leading_ = false, electing_ = false, renewing_ = false, heard_peer_ = false;
+  uint64_t term_ = 0, lease_ = 0;
+  double valid_until_ = 0, next_renewal_ = 0, next_try_ = 0, vacant_since_ = 0;
+  double next_full_routes_ = 0, next_lease_ = 0, term_started_ = 0;
+  std::set<int> leasing_;
+  std::map<int, double> gave_up_;  // block -> when it was last taken from a holder that saw silence
+  struct Routed {
+    int block = 0;
+    double since = 0;
+  };
+  std::map<ChunkId, Routed> routes_;
+  std::map<ChunkId, double> waiting_since_;
+  std::set<std::string> finishing_;
+};
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/model.h
@@ -0,0 +1,96 @@
+// Jobs, tasks and machines as every controller knows them from the state service.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rooksill::core {
+
+enum class Shape { kArray, kService };
+enum class Priority { kIdle = 0, kStandard = 1, kUrgent = 2, kProd = 3 };
+
+struct JobSpec {
+  std::string id, job_class, team, image, zone;  // zone empty: any
+  Shape shape = Shape::kArray;
+  Priority priority = Priority::kStandard;
+  uint32_t tasks = 1;
+  double cpus = 0, gpus = 0, memory_gb = 0, image_gb = 0;
+  std::vector<std::string> types;  // empty: any
+  bool one_zone = false, spread = false, spot = false;
+  double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+  std::optional<double> deadline_s;
+};
+
+struct MachineType {
+  std::string name;
+  double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0, fetch_gb_per_s = 1;
+  double price = 0, spot_price = 0, boot_s = 30;
+  std::vector<std::string> zones;
+};
+
+struct TaskRef {
+  std::string job;
+  uint32_t index = 0;
+  bool operator==(const TaskRef&) const = default;
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+struct TaskState {
+  std::string machine;  // empty: on none
+  uint64_t attempt = 0;
+  bool done = false;
+  bool operator==(const TaskState&) const = default;
+};
+
+struct Chunk {
+  uint64_t stamp = 0;  // 0: the key does not exist yet
+  std::vector<TaskState> tasks;
+  uint32_t done = 0, placed = 0;
+};
+
+enum class JobEnd { kOpen = 0, kCancelled = 1, kDone = 2 };
+
+struct Job {
+  JobSpec spec;
+  uint64_t stamp = 0;
+  JobEnd end = JobEnd::kOpen;
+  double submitted = 0;  // wall clock
+  std::vector<Chunk> chunks;
+  uint32_t done = 0, placed = 0;
+  bool over() const { return end != JobEnd::kOpen; }
+  bool finished_tasks() const { return done == spec.tasks; }
+};
+
+// A machine in a block. It stays in its block until it is gone for certain.
+struct Machine {
+  std::string name, type, zone;
+  bool spot = false;
+  int block = 0;
+  double rented = 0;  // wall clock
+};
+
+// Who may act for a block. Changing this key makes the former holder's transactions fail.
+struct BlockLease {
+  uint64_t stamp = 0;
+  std::string holder;         // label
+  uint64_t incarnation = 0;   // of the holder's process
+  uint64_t token = 0;         // rises with each lease
+  uint64_t last_machine = 0;  // reserved
+};
+
+struct Leadership {
+  uint64_t stamp = 0;  // 0: vacant
+  std::string label;
+  uint64_t incarnation = 0;
+  uint64_t term = 0;
+};
+
+inline constexpr uint32_t kChunkTasks = 16;
+inline constexpr int kTokenShift = 20;  // a holder raises tokens below its lease's
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/peers.h
@@ -0,0 +1,48 @@
+// What the other controllers said last.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "rooksill/core/context.h"
+#include "rooksill/net/peer_codec.h"
+
+namespace rooksill::core {
+
+struct Peer {
+  uint64_t incarnation = 0, seq = 0;
+  double last_heard = -1e9, first_heard = 0;
+  net::Beat beat;
+};
+
+class Peers {
+ public:
+  explicit Peers(Context& ctx) : ctx_(ctx) {
+    for (const auto& p : ctx.settings.platform.peers) peers_[p.label];
+  }
+
+  // Nothing if the message is malformed, from nobody known, or older than what was heard.
+  std::optional<net::Envelope> receive(const std::string& bytes);
+  void send(const std::string& label, net::PeerKind kind, const std::string& payload);
+  void broadcast(net::PeerKind kind, const std::string& payload);
+  void lost(const std::string& label);
+
+  bool alive(const std::string& label) const;
+  int live() const;  // with this one
+  double last_heard_any() const;
+  std::map<std::string, Peer>& all() { return peers_; }
+  const Peer* find(const std::string& label) const {
+    auto it = peers_.find(label);
+    return it == peers_.end() ? nullptr : &it->second;
+  }
+  double silence() const {
+    return ctx_.settings.operators.peer_silence_reports * ctx_.settings.platform.report_s;
+  }
+
+ private:
+  Context& ctx_;
+  std::map<std::string, Peer> peers_;
+  uint64_t seq_ = 0;
+};
+
+}  // namespace rooksill::core
--- /dev/null
+++ b/src/rooksill/core/service.cc
@@ -0,0 +1,108 @@
+#include "rooksill/core/service.h"
+
+#include <ev.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <stdexcept>
+
+#include "rooksill/core/core.h"
+#include "rooksill/net/http_client.h"
+#include "rooksill/net/http_server.h"
+#include "rooksill/net/peer_net.h"
+
+namespace rooksill {
+
+namespace {
+
+struct LoopDeleter {
+  void operator()(struct ev_loop* loop) const { ev_loop_destroy(loop); }
+};
+
+core::Time read_clocks() {
+  using Seconds = std::chrono::duration<double>;
+  return {Seconds(std::chrono::steady_clock::now().time_since_epoch()).count(),
+          Seconds(std::chrono::system_clock::now().time_since_epoch()).count()};
+}
+
+class Service {
+ public:
+  explicit Service(const Settings& settings)
+      : loop_(ev_loop_new(EVFLAG_AUTO)),
+        core_(settings, seed(settings), read_clocks().wall,
+              spdlog::get_level() <= spdlog::level::debug),
+        client_(loop_.get(), [this](core::CallDone d) { push(std::move(d)); }),
+        server_(loop_.get(), settings.platform.api_address,
+                static_cast<size_t>(settings.platform.max_sockets) * 7 / 10,
+                [this](uint64_t id, net::HttpMessage m) {
+                  push(core::Request{id, std::move(m.method), std::move(m.target),
+                                     std::move(m.body)});
+                }),
+        peers_(
+            loop_.get(), settings.platform,
+            [this](std::string bytes) { push(core::PeerMessage{std::move(bytes)}); },
+            [this](std::string label) { push(core::PeerLost{std::move(label)}); }),
+        tick_(loop_.get(), 0, core::Core::kTick, [this] { push(core::Tick{}); }) {
+    ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* w, int) {
+      static_cast<Service*>(w->data)->drain();
+    });
+    prepare_.data = this;
+    ev_prepare_start(loop_.get(), &prepare_);
+  }
+  ~Service() { ev_prepare_stop(loop_.get(), &prepare_); }
+  Service(const Service&) = delete;
+  Service& operator=(const Service&) = delete;
+
+  void run() { ev_run(loop_.get(), 0); }
+
+ private:
+  // Two processes that start at the same moment must not draw the same numbers.
+  static uint64_t seed(const Settings& s) {
+    std::random_device device;
+    uint64_t v = (static_cast<uint64_t>(device()) << 32) ^ device();
+    return v ^ std::hash<std::string>{}(s.platform.label);
+  }
+
+  void push(core::Command c) { queue_.push_back(std::move(c)); }
+
+  // Before each wait: all that has come in goes to the core as one batch.
+  void drain() {
+    while (!queue_.empty()) {
+      std::vector<core::Command> batch(std::make_move_iterator(queue_.begin()),
+                                       std::make_move_iterator(queue_.end()));
+      queue_.clear();
+      core_.run(batch, read_clocks());
+      core::Effects out = std::move(core_.effects());
+      core_.effects().clear();
+      for (const auto& line : out.log) {
+        auto level = line.level == core::LogLine::Level::kError  ? spdlog::level::err
+                     : line.level == core::LogLine::Level::kInfo ? spdlog::level::info
+                                                                  : spdlog::level::debug;
+        spdlog::log(level, "{}: {}", line.component, line.text);
+      }
+      for (const auto& r : out.replies) server_.reply(r.request, r.status, r.body, r.retry_after_s);
+      for (const auto& p : out.peer) peers_.send(p.label, p.bytes);
+      for (const auto& c : out.calls) client_.call(c);
+    }
+  }
+
+  std::unique_ptr<struct ev_loop, LoopDeleter> loop_;
+  core::Core core_;
+  std::deque<core::Command> queue_;
+  net::HttpClient client_;
+  net::HttpServer server_;
+  net::PeerNet peers_;
+  net::Timer tick_;
+  ev_prepare prepare_;
+};
+
+}  // namespace
+
+void serve(const Settings& settings) {
+  Service service(settings);
+  service.run();
+}
+
+}  // namespace rooksill
--- /dev/null
+++ b/src/rooksill/core/service.h
@@ -0,0 +1,11 @@
+// A controller: the core with the network around it.
+#pragma once
+
+#include "rooksill/settings/settings.h"
+
+namespace rooksill {
+
+// Runs until the process is killed. Throws std::runtime_error if it cannot start.
+void serve(const Settings& settings);
+
+}  // namespace rooksill
--- /dev/null
+++ b/src/rooksill/net/http_client.h
@@ -0,0 +1,44 @@
+// The calling side: the state service, the cloud and workers, over kept connections.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "rooksill/core/io.h"
+#include "rooksill/net/http_parser.h"
+#include "rooksill/net/loop.h"
+#include "rooksill/net/socket.h"
+
+namespace rooksill::net {
+
+class HttpClient {
+ public:
+  using Done = std::function<void(core::CallDone)>;
+
+  HttpClient(struct ev_loop* loop, Done done);
+  ~HttpClient();
+  void call(const core::Call& call);
+
+ private:
+  struct Connection;
+  void on_io(uint64_t id, int events);
+  void start(Connection& c, const core::Call& call);
+  void write(Connection& c);
+  void read(Connection& c);
+  // Ends the connection; a call on it gets no answer, unless it can go out once more.
+  void fail(uint64_t id);
+  void finish(Connection& c, HttpMessage m);
+  void sweep();
+
+  struct ev_loop* loop_;
+  Done done_;
+  std::map<uint64_t, std::unique_ptr<Connection>> connections_;
+  std::map<std::string, std::list<uint64_t>> idle_;
+  uint64_t next_ = 1;
+  std::unique_ptr<Timer> sweep_;
+};
+
+}  // namespace rooksill::net
--- /dev/null
+++ b/src/rooksill/net/peer_codec.h
@@ -0,0 +1,91 @@
+// What controllers say to one another, in msgpack. All of it is soft: nothing here decides
+// anything that the state service has not been asked about.
+#pragma once
+
+#include <msgpack.hpp>
+
+#include <string>
+#include <vector>
+
+namespace rooksill::net {
+
+enum class PeerKind : int { kBeat = 1, kUpdates = 2, kRoutes = 3, kSighting = 4 };
+
+struct MachineView {
+  std::string name, address;
+  bool up = false, draining = false, silent = false, bad = false, warned = false;
+  double cpus_free = 0, gpus_free = 0, memory_free = 0;
+  double load = 0;  // share of the machine in use
+  uint32_t tasks = 0;
+  std::vector<std::string> images;
+  MSGPACK_DEFINE_ARRAY(name, address, up, draining, silent, bad, warned, cpus_free, gpus_free,
+                       memory_free, load, tasks, images)
+};
+
+struct Beat {
+  bool ready = false, state_ok = false, suspects_itself = false;
+  uint64_t term = 0;  // this node leads in this term; 0: it does not
+  std::vector<int> blocks;
+  std::vector<MachineView> machines;
+  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, blocks, machines)
+};
+
+struct Update {
+  std::string key, value;
+  uint64_t stamp = 0;
+  MSGPACK_DEFINE_ARRAY(key, value, stamp)
+};
+
+struct Updates {
+  std::vector<Update> items;
+  MSGPACK_DEFINE_ARRAY(items)
+};
+
+struct Route {
+  std::string job;
+  uint32_t chunk = 0;
+  MSGPACK_DEFINE_ARRAY(job, chunk)
+};
+
+struct Routes {
+  uint64_t term = 0;
+  bool full = false;  // replaces what was routed before
+  std::vector<Route> routes;
+  std::vector<std::string> drain;
+  MSGPACK_DEFINE_ARRAY(term, full, routes, drain)
+};
+
+// A worker that reported without being in any block.
+struct Sighting {
+  std::string machine, address, type, zone;
+  bool spot = false;
+  MSGPACK_DEFINE_ARRAY(machine, address, type, zone, spot)
+};
+
+struct Envelope {
+  int version = 1, kind = 0;
+  std::string label;
+  uint64_t incarnation = 0, seq = 0;
+  std::string payload;
+  MSGPACK_DEFINE_ARRAY(version, kind, label, incarnation, seq, payload)
+};
+
+template <typename T>
+std::string pack(const T& value) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, value);
+  return {buffer.data(), buffer.size()};
+}
+
+template <typename T>
+bool unpack(const std::string& bytes, T& value) try {
+  msgpack::unpack_limit limit(100000, 100000, 1 << 20, 1 << 20, 1 << 16, 16);
+  msgpack::object_handle handle =
+      msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+  handle.get().convert(value);
+  return true;
+} catch (const std::exception&) {
+  return false;
+}
+
+}  // namespace rooksill::net
--- /dev/null
+++ b/src/rooksill/placement/grants.h
@@ -0,0 +1,13 @@
+// How a team's limit is split among the blocks.
+#pragma once
+
+#include "rooksill/settings/settings.h"
+
+namespace rooksill::placement {
+
+// Each block gets an equal part that never shrinks, so no holder has to agree to less. A limit too
+// small to be cut (`whole_below`) goes to one block alone. 0 means none in the settings; here a
+// limit that is not set is infinite.
+double granted(double limit, double whole_below, const std::string& team, int block, int blocks);
+
+}  // namespace rooksill::placement
--- /dev/null
+++ b/src/rooksill/state/client.cc
@@ -0,0 +1,118 @@
+#include "rooksill/state/client.h"
+
+#include <algorithm>
+
+namespace rooksill::state {
+
+using nlohmann::json;
+
+void RateLimit::refill(double now) {
+  level_ = std::min(per_s_, level_ + (now - last_) * per_s_);
+  last_ = now;
+}
+
+bool RateLimit::take(double n) {
+  // A transaction larger than a whole second's worth goes out on a full bucket.
+  if (level_ < std::min(n, per_s_ * 0.95)) return false;
+  level_ -= n;
+  return true;
+}
+
+Client::Client(const PlatformSettings& settings, CallFn call)
+    : settings_(settings),
+      call_(std::move(call)),
+      requests_(settings.state_rps / settings.controllers),
+      writes_(settings.state_write_rps / settings.controllers) {}
+
+void Client::tick(double now, int sharers) {
+  now_ = now;
+  // Each live controller takes an equal share, less a margin for the others' drift.
+  double share = 0.95 / std::max(1, sharers);
+  requests_.set_rate(settings_.state_rps * share);
+  writes_.set_rate(settings_.state_write_rps * share);
+  requests_.refill(now);
+  writes_.refill(now);
+}
+
+void Client::note(const core::CallDone& done) {
+  if (done.status == 0 || done.status == 503) {
+    last_failure_ = now_;
+    ++refused_;
+  } else {
+    last_answer_ = now_;
+  }
+}
+
+bool Client::raw(const std::string& method, const std::string& path, const std::string& body,
+                 double timeout_s, core::CallHandler done) {
+  if (!requests_.take(1)) return false;
+  call_(method, path, body, timeout_s, [this, done = std::move(done)](const core::CallDone& r) {
+    note(r);
+    done(r);
+  });
+  return true;
+}
+
+bool Client::read(const std::string& key, ReadDone done) {
+  return raw("GET", "/store/" + key, "", 1.0, [done = std::move(done)](const core::CallDone& r) {
+    ReadResult out;
+    if (r.status == 404) {
+      out.answered = true;
+    } else if (r.status == 200) {
+      json j = json::parse(r.body, nullptr, false);
+      if (j.is_object() && j.contains("v") && j.contains("stamp") &&
+          j["stamp"].is_number_unsigned()) {
+        out.answered = out.found = true;
+        out.stamp = j["stamp"];
+        out.value = std::move(j["v"]);
+      }
+    }
+    done(out);
+  });
+}
+
+bool Client::txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done) {
+  double puts = static_cast<double>(writes.size());
+  if (!requests_.take(1)) return false;
+  if (puts > 0 && !writes_.take(puts)) return false;
+  json g = json::array(), w = json::array();
+  for (const auto& x : guards) g.push_back({{"k", x.key}, {"stamp", x.stamp}});
+  for (auto& x : writes) {
+    if (x.value.is_null()) {
+      w.push_back({{"delete", x.key}});
+      continue;
+    }
+    json p{{"put", x.key}, {"v", std::move(x.value)}};
+    if (x.lease != 0) p["hold"] = x.lease;
+    w.push_back(std::move(p));
+  }
+  json body{{"guards", std::move(g)}, {"writes", std::move(w)}};
+  call_("POST", "/txn", body.dump(-1, ' ', false, json::error_handler_t::replace), 1.0, [this, done = std::move(done)](const core::CallDone& r) {
+    note(r);
+    TxnResult out;
+    if (r.status == 429 || r.status == 503) {
+      out.outcome = Outcome::kRefused;
+      writes_.drain();
+    } else if (r.status == 0) {
+      out.outcome = r.refused ? Outcome::kRefused : Outcome::kUnknown;
+    } else {
+      json j = json::parse(r.body, nullptr, false);
+      if (r.status == 200 && j.is_object() && j.contains("epoch") &&
+          j["epoch"].is_number_unsigned()) {
+        out.outcome = Outcome::kApplied;
+        out.stamp = j["epoch"];
+      } else if (r.status == 409 && j.is_object() && j.contains("failed") &&
+                 j["failed"].is_array()) {
+        out.outcome = Outcome::kConflict;
+        for (const auto& k : j["failed"])
+          if (k.is_string()) out.failed.push_back(k);
+      } else if (r.status == 400) {
+        out.outcome = Outcome::kNoLease;
+      }
+    }
+    done(out);
+  });
+  return true;
+}
+
+}  // namespace rooksill::state
--- /dev/null
+++ b/src/rooksill/state/client.h
@@ -0,0 +1,97 @@
+// The state service: transactions within its limits, reads, the watch.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rooksill/core/io.h"
+#include "rooksill/settings/settings.h"
+
+namespace rooksill::state {
+
+struct Guard {
+  std::string key;
+  uint64_t stamp = 0;
+};
+
+struct Write {
+  std::string key;
+  nlohmann::json value;  // null: delete
+  uint64_t lease = 0;    // 0: none
+};
+
+enum class Outcome {
+  kApplied,   // stamp is the revision
+  kConflict,  // failed names the keys
+  kRefused,   // not executed: 429, 503, or no connection was made
+  kUnknown,   // may have been, or may yet be, executed
+  kNoLease
+};
+
+struct TxnResult {
+  Outcome outcome = Outcome::kUnknown;
+  uint64_t stamp = 0;
+  std::vector<std::string> failed;
+};
+
+struct ReadResult {
+  bool answered = false, found = false;
+  uint64_t stamp = 0;
+  nlohmann::json value;
+};
+
+// A bucket of one second's worth, refilled evenly.
+class RateLimit {
+ public:
+  explicit RateLimit(double per_s) : per_s_(per_s), level_(per_s) {}
+  void set_rate(double per_s) { per_s_ = per_s; }
+  void refill(double now);
+  bool take(double n);
+  void drain() { level_ = 0; }
+
+ private:
+  double per_s_, level_, last_ = 0;
+};
+
+using CallFn =
+    std::function<void(std::string method, std::string path, std::string body, double timeout_s,
+                       core::CallHandler)>;
+
+class Client {
+ public:
+  Client(const PlatformSettings& settings, CallFn call);
+
+  using TxnDone = std::function<void(const TxnResult&)>;
+  using ReadDone = std::function<void(const ReadResult&)>;
+
+  // False when the limits leave no room just now; nothing was sent then.
+  bool txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done);
+  bool read(const std::string& key, ReadDone done);
+  bool raw(const std::string& method, const std::string& path, const std::string& body,
+           double timeout_s, core::CallHandler done);
+
+  void tick(double now, int sharers);
+  double last_answer() const { return last_answer_; }
+  double last_failure() const { return last_failure_; }
+  // True while answers come.
+  bool healthy() const { return last_answer_ >= last_failure_; }
+  uint64_t refused_count() const { return refused_; }
+
+ private:
+  void note(const core::CallDone& done);
+
+  const PlatformSettings& settings_;
+  CallFn call_;
+  RateLimit requests_, writes_;
+  double now_ = 0, last_answer_ = 0, last_failure_ = -1;
+  uint64_t refused_ = 0;
+};
+
+}  // namespace rooksill::state
--- /dev/null
+++ b/src/rooksill/state/syncer.cc
@@ -0,0 +1,104 @@
+#include "rooksill/state/syncer.h"
+
+#include <algorithm>
+
+namespace rooksill::state {
+
+using nlohmann::json;
+
+namespace {
+constexpr int kPage = 300;
+constexpr double kPause = 0.05;       // between two watches: each is a request
+constexpr double kRetry = 0.3;        // after an error
+constexpr int kWatchMs = 10000;       // how long the service holds a watch
+constexpr double kWatchTimeout = 13;  // ours, past which it is given up
+}  // namespace
+
+void Syncer::tick() {
+  if (busy_ || ctx_.now.steady < next_) return;
+  if (listed_)
+    watch();
+  else
+    list("");
+}
+
+void Syncer::list(const std::string& after) {
+  std::string path =
+      "/store?starts=" + core::kPrefix + "&from=" + after + "&most=" + std::to_string(kPage);
+  if (after.empty()) path = "/store?starts=" + core::kPrefix + "&most=" + std::to_string(kPage);
+  busy_ = client_.raw("GET", path, "", 2.0,
+                      [this, after](const core::CallDone& d) { on_page(d, after); });
+  if (!busy_) next_ = ctx_.now.steady + kPause;
+}
+
+void Syncer::on_page(const core::CallDone& done, const std::string& after) {
+  busy_ = false;
+  json j = done.status == 200 ? json::parse(done.body, nullptr, false) : json();
+  if (!j.is_object() || !j.contains("items") || !j["items"].is_array() || !j.contains("epoch") ||
+      !j["epoch"].is_number_unsigned()) {
+    next_ = ctx_.now.steady + kRetry;
+    return;
+  }
+  if (after.empty()) {
+    epoch_ = j["epoch"];
+    leader_seen_ = false;
+  }
+  std::string last;
+  for (const auto& item : j["items"]) {
+    if (!item.is_object() || !item.contains("k") || !item.contains("v")) continue;
+    last = item.value("k", "");
+    if (last == core::kLeaderKey) leader_seen_ = true;
+    replica_.apply(last, item["v"], item.value("stamp", uint64_t{0}));
+  }
+  if (j.value("truncated", false) && !last.empty()) {
+    list(last);
+    if (!busy_) listed_ = false;  // start again from the first page
+    return;
+  }
+  // A leader's key that is in no page has gone. A leader elected since is above this epoch.
+  if (!leader_seen_) replica_.forget_leader(epoch_ + 1);
+  listed_ = true;
+  replica_.synced_epoch = std::max(replica_.synced_epoch, epoch_);
+  if (!replica_.synced) ctx_.info("state", "replica loaded: {} jobs, epoch {}", replica_.jobs.size(), epoch_);
+  replica_.synced = true;
+  last_sync_ = ctx_.now.steady;
+  watch();
+}
+
+void Syncer::watch() {
+  const std::string path = "/watch?starts=" + core::kPrefix + "&from=" + std::to_string(epoch_) +
+                           "&hold_ms=" + std::to_string(kWatchMs);
+  busy_ = client_.raw("GET", path, "", kWatchTimeout,
+                      [this](const core::CallDone& d) { on_watch(d); });
+  if (!busy_) next_ = ctx_.now.steady + kPause;
+}
+
+void Syncer::on_watch(const core::CallDone& done) {
+  busy_ = false;
+  if (done.status == 410) {
+    listed_ = false;
+    next_ = ctx_.now.steady;
+    return;
+  }
+  json j = done.status == 200 ? json::parse(done.body, nullptr, false) : json();
+  if (!j.is_object() || !j.contains("epoch") || !j["epoch"].is_number_unsigned()) {
+    next_ = ctx_.now.steady + kRetry;
+    return;
+  }
+  if (j.contains("news") && j["news"].is_array()) {
+    for (const auto& e : j["news"]) {
+      if (!e.is_object()) continue;
+      const uint64_t stamp = e.value("stamp", uint64_t{0});
+      if (e.contains("put") && e["put"].is_string() && e.contains("v"))
+        replica_.apply(e["put"].get<std::string>(), e["v"], stamp);
+      else if (e.contains("delete") && e["delete"].is_string())
+        replica_.remove(e["delete"].get<std::string>(), stamp);
+    }
+  }
+  epoch_ = std::max(epoch_, j["epoch"].get<uint64_t>());
+  replica_.synced_epoch = std::max(replica_.synced_epoch, epoch_);
+  last_sync_ = ctx_.now.steady;
+  next_ = ctx_.now.steady + kPause;
+}
+
+}  // namespace rooksill::state
