--- a/src/main.cc
+++ b/src/main.cc
@@ -36,7 +36,8 @@
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
     if (e.get_exit_code() == 0) return app.exit(e);
-    std::cerr << "rooksill: " << e.what() << "\nusage: rooksill [--check] [--settings FILE] --config FILE\n";
+    std::cerr << "rooksill: " << e.what()
+              << "\nusage: rooksill [--check] [--settings FILE] --config FILE\n";
     return 2;
   }
   rooksill::Settings settings;
--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -12,10 +12,10 @@
 using state::Outcome;
 
 namespace {
-constexpr double kRetryAfter = 1;    // the shortest pause a user makes
-constexpr double kPatience = 1.5;    // below the 2 s that a user waits for a poll
-constexpr size_t kMaxLookups = 64;   // reads of unknown ids under way
-constexpr int kMaxInFlight = 2;      // transactions of a kind under way
+constexpr double kRetryAfter = 1;   // the shortest pause a user makes
+constexpr double kPatience = 1.5;   // below the 2 s that a user waits for a poll
+constexpr size_t kMaxLookups = 64;  // reads of unknown ids under way
+constexpr int kMaxInFlight = 2;     // transactions of a kind under way
 }  // namespace
 
 void Users::handle(const core::Request& r) {
@@ -28,11 +28,10 @@
     return ctx_.reply(r.id, 404, encode_error("no such path"));
   std::string id = r.target.substr(prefix.size() + 1);
   const std::string tail = "/cancel";
-  bool cancelling = id.size() > tail.size() &&
-                    id.compare(id.size() - tail.size(), tail.size(), tail) == 0;
+  bool cancelling =
+      id.size() > tail.size() && id.compare(id.size() - tail.size(), tail.size(), tail) == 0;
   if (cancelling) id.resize(id.size() - tail.size());
-  if (id.find('/') != std::string::npos)
-    return ctx_.reply(r.id, 404, encode_error("no such path"));
+  if (id.find('/') != std::string::npos) return ctx_.reply(r.id, 404, encode_error("no such path"));
   if (r.method != (cancelling ? "POST" : "GET"))
     return ctx_.reply(r.id, 405, encode_error(cancelling ? "use POST" : "use GET"));
   if (!core::valid_job_id(id)) return ctx_.reply(r.id, 404, encode_error("no such job"));
@@ -91,11 +90,10 @@
   }
   if (creations_.empty() || creating_ >= kMaxInFlight) return;
   // A group goes out at once; the limits decide how large it may be.
-  const size_t most =
-      std::min<size_t>({ctx_.settings.platform.state_txn_ops, creations_.size(),
-                        static_cast<size_t>(std::max(
-                            1.0, ctx_.settings.platform.state_write_rps /
-                                     ctx_.settings.platform.controllers / 2))});
+  const size_t most = std::min<size_t>(
+      {ctx_.settings.platform.state_txn_ops, creations_.size(),
+       static_cast<size_t>(std::max(
+           1.0, ctx_.settings.platform.state_write_rps / ctx_.settings.platform.controllers / 2))});
   std::vector<Creation> group;
   std::vector<state::Guard> guards;
   std::vector<state::Write> writes;
@@ -128,8 +126,7 @@
             // Some ids exist already: those get their state, the others go out again.
             for (const auto& c : group) {
               const std::string key = core::job_key(c.job.spec.id);
-              if (std::find(result.failed.begin(), result.failed.end(), key) !=
-                  result.failed.end())
+              if (std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end())
                 poll(c.request, c.job.spec.id);
               else
                 creations_.push_front(c);
@@ -161,17 +158,17 @@
 void Users::look_up(uint64_t request, const std::string& id, std::function<void()> found,
                     bool submission) {
   if (lookups_ >= kMaxLookups) return later(request);
-  bool sent = client_.read(core::job_key(id), [this, request, id, submission,
-                                               found = std::move(found)](
-                                                  const state::ReadResult& r) {
-    --lookups_;
-    if (!r.answered) return later(request);
-    if (r.found) replica_.apply(core::job_key(id), r.value, r.stamp);
-    if (replica_.job(id) != nullptr) return found();
-    // A submission that was not applied may be sent again; 404 would end it.
-    if (submission) return later(request);
-    ctx_.reply(request, 404, encode_error("no such job"));
-  });
+  bool sent = client_.read(
+      core::job_key(id),
+      [this, request, id, submission, found = std::move(found)](const state::ReadResult& r) {
+        --lookups_;
+        if (!r.answered) return later(request);
+        if (r.found) replica_.apply(core::job_key(id), r.value, r.stamp);
+        if (replica_.job(id) != nullptr) return found();
+        // A submission that was not applied may be sent again; 404 would end it.
+        if (submission) return later(request);
+        ctx_.reply(request, 404, encode_error("no such job"));
+      });
   if (sent)
     ++lookups_;
   else
@@ -202,8 +199,7 @@
   std::set<std::string> ids;
   std::vector<state::Guard> guards;
   for (const auto& p : group)
-    if (ids.insert(p.id).second)
-      guards.push_back({core::job_key(p.id), replica_.job(p.id)->stamp});
+    if (ids.insert(p.id).second) guards.push_back({core::job_key(p.id), replica_.job(p.id)->stamp});
   bool sent = client_.txn(std::move(guards), {}, [this, group](const state::TxnResult& r) {
     --checking_;
     if (r.outcome == Outcome::kApplied) {
--- a/src/rooksill/cloud/codec.cc
+++ b/src/rooksill/cloud/codec.cc
@@ -62,11 +62,8 @@
 
 std::string encode_rental(const std::string& request, const std::string& type,
                           const std::string& zone, bool spot, int count) {
-  return json{{"hire", request},
-              {"build", type},
-              {"ward", zone},
-              {"loaners", spot},
-              {"how_many", count}}
+  return json{
+      {"hire", request}, {"build", type}, {"ward", zone}, {"loaners", spot}, {"how_many", count}}
       .dump();
 }
 
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -16,8 +16,8 @@
 using state::Outcome;
 
 namespace {
-constexpr double kLateBoot = 2.5;    // boot times after which a machine is not counted on
-constexpr double kFailedBoot = 4.0;  // boot times after which it is returned
+constexpr double kLateBoot = 2.5;      // boot times after which a machine is not counted on
+constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
 constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
@@ -25,7 +25,9 @@
 }  // namespace
 
 Fleet::Fleet(core::Context& ctx, core::Replica& replica, state::Committer& committer)
-    : ctx_(ctx), replica_(replica), committer_(committer),
+    : ctx_(ctx),
+      replica_(replica),
+      committer_(committer),
       limit_(ctx.settings.platform.cloud_rps) {}
 
 double Fleet::share(const JobSpec& s, const MachineType& t) const {
@@ -57,8 +59,7 @@
   const double passed = last_tick_ > 0 ? now - last_tick_ : 0;
   last_tick_ = now;
   for (const auto& [name, v] : views)
-    if (const Machine* m = replica_.machine(name))
-      demand_[{m->type, m->spot}].busy(v.load, passed);
+    if (const Machine* m = replica_.machine(name)) demand_[{m->type, m->spot}].busy(v.load, passed);
   if (now < next_measure_) return;
   const auto& s = ctx_.settings;
   const double period = s.operators.period_reports * s.platform.report_s;
@@ -213,8 +214,8 @@
   h.reason = reason;
   h.asked = ctx_.now.wall;
   const std::string name = "rk-" + std::to_string(term_) + "-" + std::to_string(next_hire_++);
-  ctx_.info("fleet", "rent {} {} {} in {} ({}) as {}", h.count, offer.pool.spot ? "spot" : "ordinary",
-            offer.pool.type, offer.zone, reason, name);
+  ctx_.info("fleet", "rent {} {} {} in {} ({}) as {}", h.count,
+            offer.pool.spot ? "spot" : "ordinary", offer.pool.type, offer.zone, reason, name);
   hires_.emplace(name, std::move(h));
 }
 
@@ -314,8 +315,7 @@
 // ---- releases ------------------------------------------------------------------------------
 
 void Fleet::release(const std::string& name, const std::string& reason) {
-  if (releasing_.emplace(name, reason).second)
-    ctx_.info("fleet", "release {} ({})", name, reason);
+  if (releasing_.emplace(name, reason).second) ctx_.info("fleet", "release {} ({})", name, reason);
 }
 
 void Fleet::send_releases() {
@@ -451,8 +451,8 @@
     const auto& t = type->second;
     if (up) {
       if (v->second.cpus_free > 0)
-        rooms.push_back({&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free,
-                         v->second.memory_free});
+        rooms.push_back(
+            {&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free, v->second.memory_free});
     } else if (ctx_.now.wall - m.rented < kLateBoot * t.boot_s) {
       rooms.push_back({&t, m.zone, m.spot, t.cpus, t.gpus, t.memory_gb});
     }
@@ -504,7 +504,8 @@
         const MachineType* best_type = nullptr;
         double best_cost = std::numeric_limits<double>::infinity();
         for (const auto& [name, t] : replica_.types) {
-          if (!allowed_type(name) || s.cpus > t.cpus || s.gpus > t.gpus || s.memory_gb > t.memory_gb)
+          if (!allowed_type(name) || s.cpus > t.cpus || s.gpus > t.gpus ||
+              s.memory_gb > t.memory_gb)
             continue;
           for (bool spot : {true, false}) {
             if (spot && !s.spot) continue;
@@ -513,8 +514,7 @@
               if (!fits_zone(z) || !open(offer)) continue;
               const double slots = std::max(1.0, std::floor(1 / std::max(1e-6, share(s, t))));
               const double cost = (spot ? t.spot_price : t.price) /
-                                  std::min(slots, 2.0 * (w.count - i)) *
-                                  (1 + 0.01 * wanted[offer]);
+                                  std::min(slots, 2.0 * (w.count - i)) * (1 + 0.01 * wanted[offer]);
               if (cost < best_cost) {
                 best_cost = cost;
                 best = offer;
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -101,8 +101,7 @@
   std::map<std::string, int> unexpected_;
   std::set<int> writing_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
-  double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0,
-         next_measure_ = 0;
+  double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
   double next_on_demand_ = 0;
 };
 
--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -17,13 +17,26 @@
 std::string type_key(const std::string& name) { return kPrefix + "c/" + name; }
 
 json encode_spec(const JobSpec& s) {
-  return json{{"id", s.id},         {"cl", s.job_class},      {"tm", s.team},
-              {"sh", int(s.shape)}, {"pr", int(s.priority)},  {"n", s.tasks},
-              {"c", s.cpus},        {"g", s.gpus},            {"m", s.memory_gb},
-              {"im", s.image},      {"ig", s.image_gb},       {"ty", s.types},
-              {"z", s.zone},        {"oz", s.one_zone},       {"sp", s.spread},
-              {"st", s.spot},       {"e", s.estimate_s},      {"ck", s.checkpoint_s},
-              {"sv", s.save_s},     {"d", s.deadline_s ? json(*s.deadline_s) : json(nullptr)}};
+  return json{{"id", s.id},
+              {"cl", s.job_class},
+              {"tm", s.team},
+              {"sh", int(s.shape)},
+              {"pr", int(s.priority)},
+              {"n", s.tasks},
+              {"c", s.cpus},
+              {"g", s.gpus},
+              {"m", s.memory_gb},
+              {"im", s.image},
+              {"ig", s.image_gb},
+              {"ty", s.types},
+              {"z", s.zone},
+              {"oz", s.one_zone},
+              {"sp", s.spread},
+              {"st", s.spot},
+              {"e", s.estimate_s},
+              {"ck", s.checkpoint_s},
+              {"sv", s.save_s},
+              {"d", s.deadline_s ? json(*s.deadline_s) : json(nullptr)}};
 }
 
 bool decode_spec(const json& v, JobSpec& s) try {
@@ -125,9 +138,9 @@
 }
 
 json encode_type(const MachineType& t) {
-  return json{{"n", t.name},        {"c", t.cpus},      {"g", t.gpus},       {"m", t.memory_gb},
-              {"k", t.cache_gb},    {"f", t.fetch_gb_per_s}, {"p", t.price}, {"s", t.spot_price},
-              {"b", t.boot_s},      {"z", t.zones}};
+  return json{{"n", t.name},     {"c", t.cpus},           {"g", t.gpus},  {"m", t.memory_gb},
+              {"k", t.cache_gb}, {"f", t.fetch_gb_per_s}, {"p", t.price}, {"s", t.spot_price},
+              {"b", t.boot_s},   {"z", t.zones}};
 }
 
 bool decode_type(const json& v, MachineType& t) try {
@@ -161,7 +174,8 @@
 
 bool valid_job_id(const std::string& id) {
   if (id.size() < 4 || id.size() > 64 || id.compare(0, 3, "wk-") != 0) return false;
-  return std::all_of(id.begin() + 3, id.end(), [](unsigned char c) { return c >= '0' && c <= '9'; });
+  return std::all_of(id.begin() + 3, id.end(),
+                     [](unsigned char c) { return c >= '0' && c <= '9'; });
 }
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/context.h
+++ b/src/rooksill/core/context.h
@@ -19,8 +19,8 @@
 
   void call(Target target, std::string address, std::string method, std::string path,
             std::string body, double timeout_s, CallHandler handler) {
-    Call c{next_call_++, target, std::move(address), std::move(method), std::move(path),
-           std::move(body), timeout_s};
+    Call c{next_call_++,    target,          std::move(address), std::move(method),
+           std::move(path), std::move(body), timeout_s};
     handlers_.emplace(c.id, std::move(handler));
     out.calls.push_back(std::move(c));
   }
@@ -39,8 +39,8 @@
 
   template <typename... Args>
   void info(std::string component, fmt::format_string<Args...> f, Args&&... args) {
-    out.log.push_back({LogLine::Level::kInfo, std::move(component),
-                       fmt::format(f, std::forward<Args>(args)...)});
+    out.log.push_back(
+        {LogLine::Level::kInfo, std::move(component), fmt::format(f, std::forward<Args>(args)...)});
   }
   template <typename... Args>
   void debug(std::string component, fmt::format_string<Args...> f, Args&&... args) {
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -142,8 +142,7 @@
     auto v = views();
     fleet_.observe(v);
     leader_.tick(v);
-    for (const auto& [name, address] : fleet_.take_addresses())
-      holder_.note_address(name, address);
+    for (const auto& [name, address] : fleet_.take_addresses()) holder_.note_address(name, address);
   }
 }
 
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -14,11 +14,11 @@
 
 namespace {
 constexpr int kMaxInFlight = 2;
-constexpr double kBackoff = 0.15;         // after the state refused
-constexpr double kProbeReports = 1.35;    // silence, in reports, after which a machine is asked
-constexpr double kCommandReports = 0.5;   // patience with a direct command, in reports
-constexpr int kSuspectJob = 3;            // machines a job must fail on to be suspected itself
-constexpr int kSuspectMachine = 3;        // failures in a row that make a machine suspect
+constexpr double kBackoff = 0.15;        // after the state refused
+constexpr double kProbeReports = 1.35;   // silence, in reports, after which a machine is asked
+constexpr double kCommandReports = 0.5;  // patience with a direct command, in reports
+constexpr int kSuspectJob = 3;           // machines a job must fail on to be suspected itself
+constexpr int kSuspectMachine = 3;       // failures in a row that make a machine suspect
 constexpr double kMaxBackoffReports = 10;
 }  // namespace
 
@@ -99,7 +99,7 @@
     for (auto it = evicted_.begin(); it != evicted_.end();) {
       const TaskState* t = replica_.task(it->first);
       it = t == nullptr || t->machine.empty() || t->attempt != it->second ? evicted_.erase(it)
-                                                                           : std::next(it);
+                                                                          : std::next(it);
     }
   }
 }
@@ -279,8 +279,7 @@
       auto e = evicted_.find(t.task);
       const bool evicted = e != evicted_.end() && e->second == t.attempt;
       const bool save = draining && job->spec.checkpoint_s > 0 && t.phase == Phase::kRunning;
-      if (evicted || save)
-        order({Order::Op::kStop, t.task, t.attempt, job->spec.save_s});
+      if (evicted || save) order({Order::Op::kStop, t.task, t.attempt, job->spec.save_s});
     }
   }
   for (const auto& ref : replica_.placed_on(w.name)) {
@@ -405,9 +404,8 @@
       }
       ++it;
       const bool has_result =
-          std::any_of(work.waiting.begin(), work.waiting.end(), [](const auto& c) {
-            return c.second.kind != Change::Kind::kPlace;
-          });
+          std::any_of(work.waiting.begin(), work.waiting.end(),
+                      [](const auto& c) { return c.second.kind != Change::Kind::kPlace; });
       if (has_result != (rank == 0)) continue;
       if (writes.size() + 2 > most || bytes > 40 * 1024) break;
       const Job* job = replica_.job(id.first);
@@ -559,36 +557,35 @@
   const bool starts = std::any_of(orders.begin(), orders.end(),
                                   [](const Order& o) { return o.op == Order::Op::kStart; });
   ctx_.debug("holder", "machine {}: {} orders, token {}", w.name, orders.size(), w.token);
-  ctx_.call(Target::kWorker, w.address, "POST", "/commands",
-            worker::encode_commands(w.token, std::max<uint64_t>(1, w.session), orders),
-            report * kCommandReports,
-            [this, name = w.name, token = w.token, starts, report](const CallDone& done) {
-              auto it = workers_.find(name);
-              if (it == workers_.end() || it->second.sending != token) return;
-              Worker& x = it->second;
-              x.sending = 0;
-              auto r = done.status == 200 || done.status == 409 ? worker::parse_report(done.body)
-                                                                : std::nullopt;
-              if (r && r->machine == name) {
-                if (done.status == 409) x.next_push = ctx_.now.steady + report / 30;
-                if (r->token > x.token) {
-                  ctx_.info("holder", "machine {} has token {} above ours {}", name, r->token,
-                            x.token);
-                  x.next_push = ctx_.now.steady + report;
-                  return;
-                }
-                take_report(x, *r);
-                return;
-              }
-              x.next_push = ctx_.now.steady + report / 3;
-              // Not acknowledged: it may still run later, unless a higher token gets there first.
-              if (starts && !done.refused) {
-                x.dirty = std::max(x.dirty, token);
-                x.token = std::max(x.token, token + 1);
-                ctx_.debug("holder", "machine {}: command unacknowledged, token now {}", name,
-                           x.token);
-              }
-            });
+  ctx_.call(
+      Target::kWorker, w.address, "POST", "/commands",
+      worker::encode_commands(w.token, std::max<uint64_t>(1, w.session), orders),
+      report * kCommandReports,
+      [this, name = w.name, token = w.token, starts, report](const CallDone& done) {
+        auto it = workers_.find(name);
+        if (it == workers_.end() || it->second.sending != token) return;
+        Worker& x = it->second;
+        x.sending = 0;
+        auto r = done.status == 200 || done.status == 409 ? worker::parse_report(done.body)
+                                                          : std::nullopt;
+        if (r && r->machine == name) {
+          if (done.status == 409) x.next_push = ctx_.now.steady + report / 30;
+          if (r->token > x.token) {
+            ctx_.info("holder", "machine {} has token {} above ours {}", name, r->token, x.token);
+            x.next_push = ctx_.now.steady + report;
+            return;
+          }
+          take_report(x, *r);
+          return;
+        }
+        x.next_push = ctx_.now.steady + report / 3;
+        // Not acknowledged: it may still run later, unless a higher token gets there first.
+        if (starts && !done.refused) {
+          x.dirty = std::max(x.dirty, token);
+          x.token = std::max(x.token, token + 1);
+          ctx_.debug("holder", "machine {}: command unacknowledged, token now {}", name, x.token);
+        }
+      });
 }
 
 void Holder::routes(const net::Routes& r) {
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -53,7 +53,7 @@
   void tick();   // activates leases, probes
   void flush();  // changes of state, reports' results first
   void place();
-  void push();   // commands that must be quick
+  void push();  // commands that must be quick
 
   std::vector<net::MachineView> views();
   bool holds(int block) const;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "rooksill/core/codec.h"
+#include "rooksill/placement/grants.h"
 
 namespace rooksill::core {
 
@@ -18,8 +19,13 @@
 
 Leader::Leader(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
                Peers& peers, Holder& holder, cloud::Fleet& fleet)
-    : ctx_(ctx), replica_(replica), client_(client), committer_(committer), peers_(peers),
-      holder_(holder), fleet_(fleet) {}
+    : ctx_(ctx),
+      replica_(replica),
+      client_(client),
+      committer_(committer),
+      peers_(peers),
+      holder_(holder),
+      fleet_(fleet) {}
 
 bool Leader::leading() const {
   return leading_ && ctx_.now.steady < valid_until_ &&
@@ -38,8 +44,7 @@
 // ---- election ------------------------------------------------------------------------------
 
 void Leader::elect() {
-  const double ttl =
-      ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
+  const double ttl = ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
   const double now = ctx_.now.steady;
   if (!replica_.synced) return;
   if (leading_) {
@@ -70,8 +75,7 @@
 }
 
 void Leader::stand() {
-  const double ttl =
-      ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
+  const double ttl = ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
   const int ttl_ms = static_cast<int>(std::clamp(ttl * 1000, 100.0, 600000.0));
   const double asked = ctx_.now.steady;
   next_try_ = asked + ttl / 5 + ctx_.uniform(0, ttl / 10);
@@ -86,41 +90,40 @@
         const uint64_t hold = j["hold"];
         const uint64_t term = replica_.term + 1;
         json value{{"h", ctx_.settings.platform.label}, {"i", ctx_.incarnation}, {"t", term}};
-        bool sent = committer_.commit(
-            {{kLeaderKey, 0}, {kTermKey, replica_.term_stamp}},
-            {{kLeaderKey, value, hold}, {kTermKey, json{{"t", term}}, 0}},
-            [this, hold, term, asked, ttl](const state::TxnResult& r) {
-              electing_ = false;
-              if (r.outcome == Outcome::kApplied) {
-                leading_ = true;
-                heard_peer_ = false;
-                term_ = term;
-                lease_ = hold;
-                valid_until_ = asked + ttl * kSafety;
-                next_renewal_ = ctx_.now.steady + ttl / 4;
-                term_started_ = ctx_.now.steady;
-                routes_.clear();
-                leasing_.clear();
-                finishing_.clear();
-                gave_up_.clear();
-                next_full_routes_ = 0;
-                ctx_.info("leader", "leading in term {}", term);
-                fleet_.start_term(term);
-                return;
-              }
-              // Whatever became of it, the lease is given back, and the key with it.
-              client_.raw("DELETE", "/grants/" + std::to_string(hold), "", 1,
-                          [](const CallDone&) {});
-              if (r.outcome == Outcome::kConflict)
-                committer_.refresh({kTermKey, kLeaderKey}, [] {});
-            });
+        bool sent = committer_.commit({{kLeaderKey, 0}, {kTermKey, replica_.term_stamp}},
+                                      {{kLeaderKey, value, hold}, {kTermKey, json{{"t", term}}, 0}},
+                                      [this, hold, term, asked, ttl](const state::TxnResult& r) {
+                                        electing_ = false;
+                                        if (r.outcome == Outcome::kApplied) {
+                                          leading_ = true;
+                                          heard_peer_ = false;
+                                          term_ = term;
+                                          lease_ = hold;
+                                          valid_until_ = asked + ttl * kSafety;
+                                          next_renewal_ = ctx_.now.steady + ttl / 4;
+                                          term_started_ = ctx_.now.steady;
+                                          routes_.clear();
+                                          leasing_.clear();
+                                          finishing_.clear();
+                                          gave_up_.clear();
+                                          next_full_routes_ = 0;
+                                          ctx_.info("leader", "leading in term {}", term);
+                                          fleet_.start_term(term);
+                                          return;
+                                        }
+                                        // Whatever became of it, the lease is given back, and the
+                                        // key with it.
+                                        client_.raw("DELETE", "/grants/" + std::to_string(hold), "",
+                                                    1, [](const CallDone&) {});
+                                        if (r.outcome == Outcome::kConflict)
+                                          committer_.refresh({kTermKey, kLeaderKey}, [] {});
+                                      });
         if (!sent) electing_ = false;
       });
 }
 
 void Leader::renew() {
-  const double ttl =
-      ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
+  const double ttl = ctx_.settings.operators.leader_ttl_reports * ctx_.settings.platform.report_s;
   const double asked = ctx_.now.steady;
   renewing_ = client_.raw("POST", "/grants/" + std::to_string(lease_) + "/touch", "", ttl / 4,
                           [this, asked, ttl, lease = lease_](const CallDone& d) {
@@ -197,9 +200,8 @@
   if (fit.empty()) return;
   for (const auto& l : replica_.leases) ++held[l.holder];
   auto least = [&] {
-    return *std::min_element(fit.begin(), fit.end(), [&](const auto& a, const auto& b) {
-      return held[a] < held[b];
-    });
+    return *std::min_element(fit.begin(), fit.end(),
+                             [&](const auto& a, const auto& b) { return held[a] < held[b]; });
   };
   for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
     const BlockLease& l = replica_.leases[static_cast<size_t>(b)];
@@ -283,11 +285,17 @@
       cached[b] += slots * weight;
   }
   for (size_t b = 0; b < blocks; ++b) {
+    // A block without a grant for this team cannot take the job, whatever its room.
+    if (placement::granted_cpus(ctx_.settings, replica_.types, s.team, static_cast<int>(b),
+                                static_cast<int>(blocks)) < s.cpus) {
+      score[b] = -1;
+      continue;
+    }
     double fit = 0;
     for (const auto& [zone, n] : per_zone[b])
       fit += s.spread ? std::min(n, static_cast<double>((s.tasks + 1) / 2 - zones[zone])) : n;
-    score[b] += 10 * std::min(fit, wanted) + 5 * std::min(cached[b], wanted) +
-                0.01 * std::min(fit, 100.0);
+    score[b] +=
+        10 * std::min(fit, wanted) + 5 * std::min(cached[b], wanted) + 0.01 * std::min(fit, 100.0);
     // Among equals, jobs are dealt out evenly.
     score[b] += 0.001 * static_cast<double>((std::hash<std::string>{}(s.id) + chunk + b) % blocks);
   }
@@ -395,17 +403,15 @@
     ended.spec = job.spec;
     ended.submitted = job.submitted;
     ended.end = JobEnd::kDone;
-    bool sent = committer_.commit({{job_key(id), job.stamp}},
-                                  {{job_key(id), encode_job(ended), 0}},
-                                  [this, id](const state::TxnResult& r) {
-                                    if (r.outcome == Outcome::kApplied ||
-                                        r.outcome == Outcome::kRefused) {
-                                      finishing_.erase(id);
-                                      return;
-                                    }
-                                    committer_.refresh({job_key(id)},
-                                                       [this, id] { finishing_.erase(id); });
-                                  });
+    bool sent =
+        committer_.commit({{job_key(id), job.stamp}}, {{job_key(id), encode_job(ended), 0}},
+                          [this, id](const state::TxnResult& r) {
+                            if (r.outcome == Outcome::kApplied || r.outcome == Outcome::kRefused) {
+                              finishing_.erase(id);
+                              return;
+                            }
+                            committer_.refresh({job_key(id)}, [this, id] { finishing_.erase(id); });
+                          });
     if (sent) finishing_.insert(id);
   }
 }
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -160,8 +160,7 @@
       if (!is.machine.empty()) {
         placed_on_[is.machine].insert(ref);
         touched_machines.insert(is.machine);
-        if (is.attempt == 1)
-          events.push_back({TaskEvent::Kind::kFirstPlaced, ref.job, is.machine});
+        if (is.attempt == 1) events.push_back({TaskEvent::Kind::kFirstPlaced, ref.job, is.machine});
       }
     }
     if (is.done && !was.done) events.push_back({TaskEvent::Kind::kDone, ref.job, was.machine});
--- a/src/rooksill/core/service.cc
+++ b/src/rooksill/core/service.cc
@@ -34,12 +34,12 @@
         core_(settings, seed(settings), read_clocks().wall,
               spdlog::get_level() <= spdlog::level::debug),
         client_(loop_.get(), [this](core::CallDone d) { push(std::move(d)); }),
-        server_(loop_.get(), settings.platform.api_address,
-                static_cast<size_t>(settings.platform.max_sockets) * 7 / 10,
-                [this](uint64_t id, net::HttpMessage m) {
-                  push(core::Request{id, std::move(m.method), std::move(m.target),
-                                     std::move(m.body)});
-                }),
+        server_(
+            loop_.get(), settings.platform.api_address,
+            static_cast<size_t>(settings.platform.max_sockets) * 7 / 10,
+            [this](uint64_t id, net::HttpMessage m) {
+              push(core::Request{id, std::move(m.method), std::move(m.target), std::move(m.body)});
+            }),
         peers_(
             loop_.get(), settings.platform,
             [this](std::string bytes) { push(core::PeerMessage{std::move(bytes)}); },
@@ -79,7 +79,7 @@
       for (const auto& line : out.log) {
         auto level = line.level == core::LogLine::Level::kError  ? spdlog::level::err
                      : line.level == core::LogLine::Level::kInfo ? spdlog::level::info
-                                                                  : spdlog::level::debug;
+                                                                 : spdlog::level::debug;
         spdlog::log(level, "{}: {}", line.component, line.text);
       }
       for (const auto& r : out.replies) server_.reply(r.request, r.status, r.body, r.retry_after_s);
--- a/src/rooksill/net/http_client.cc
+++ b/src/rooksill/net/http_client.cc
@@ -62,8 +62,9 @@
   c.sent = 0;
   c.out = call.method + " " + call.path + " HTTP/1.1\r\nHost: " + c.address + "\r\n";
   if (call.method != "GET" || !call.body.empty())
-    c.out += "Content-Type: application/json\r\nContent-Length: " +
-             std::to_string(call.body.size()) + "\r\n";
+    c.out +=
+        "Content-Type: application/json\r\nContent-Length: " + std::to_string(call.body.size()) +
+        "\r\n";
   c.out += "\r\n" + call.body;
   if (c.connected) write(c);
 }
--- a/src/rooksill/net/http_parser.cc
+++ b/src/rooksill/net/http_parser.cc
@@ -8,8 +8,8 @@
 namespace {
 
 bool token_char(unsigned char c) {
-  return std::isalnum(c) || std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
-                                std::string_view::npos;
+  return std::isalnum(c) ||
+         std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos;
 }
 
 std::string lower(std::string_view s) {
--- a/src/rooksill/net/http_server.cc
+++ b/src/rooksill/net/http_server.cc
@@ -20,18 +20,30 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 413: return "Content Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 }  // namespace
@@ -52,7 +64,9 @@
 
 HttpServer::HttpServer(struct ev_loop* loop, const std::string& address, size_t max_connections,
                        Handler handler)
-    : loop_(loop), listener_(listen_on(address)), max_connections_(max_connections),
+    : loop_(loop),
+      listener_(listen_on(address)),
+      max_connections_(max_connections),
       handler_(std::move(handler)) {
   accept_ = std::make_unique<IoWatcher>(loop_, listener_.fd(), EV_READ, [this](int) { accept(); });
   sweep_ = std::make_unique<Timer>(loop_, 5.0, 5.0, [this] { sweep(); });
@@ -130,8 +144,8 @@
 
 void HttpServer::send(Connection& c, int status, const std::string& body, double retry_after_s,
                       bool close) {
-  c.out += "HTTP/1.1 " + std::to_string(status) + " " + reason(status) +
-           "\r\nContent-Type: " + (body.empty() || body[0] == '{' ? "application/json" : "text/plain; version=0.0.4") +
+  c.out += "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\nContent-Type: " +
+           (body.empty() || body[0] == '{' ? "application/json" : "text/plain; version=0.0.4") +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
   if (retry_after_s > 0)
     c.out += "Retry-After: " + std::to_string(static_cast<int>(std::ceil(retry_after_s))) + "\r\n";
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <msgpack.hpp>
-
 #include <string>
 #include <vector>
 
--- a/src/rooksill/net/peer_net.cc
+++ b/src/rooksill/net/peer_net.cc
@@ -33,7 +33,9 @@
 
 PeerNet::PeerNet(struct ev_loop* loop, const PlatformSettings& settings, OnMessage on_message,
                  OnLost on_lost)
-    : loop_(loop), on_message_(std::move(on_message)), on_lost_(std::move(on_lost)),
+    : loop_(loop),
+      on_message_(std::move(on_message)),
+      on_lost_(std::move(on_lost)),
       listener_(listen_on(settings.back_address)) {
   accept_ = std::make_unique<IoWatcher>(loop_, listener_.fd(), EV_READ, [this](int) { accept(); });
   for (const auto& p : settings.peers) {
@@ -151,8 +153,7 @@
   size_t at = 0;
   while (in.buffer.size() - at >= 4) {
     uint32_t size = 0;
-    for (size_t i = 0; i < 4; ++i)
-      size = size << 8 | static_cast<unsigned char>(in.buffer[at + i]);
+    for (size_t i = 0; i < 4; ++i) size = size << 8 | static_cast<unsigned char>(in.buffer[at + i]);
     if (size > kMaxFrame) {
       in_.erase(it);
       return;
--- a/src/rooksill/placement/grants.cc
+++ b/src/rooksill/placement/grants.cc
@@ -1,5 +1,6 @@
 #include "rooksill/placement/grants.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace rooksill::placement {
@@ -12,4 +13,13 @@
   return static_cast<int>(sum % static_cast<uint32_t>(blocks)) == block ? limit : 0;
 }
 
+double granted_cpus(const Settings& settings, const std::map<std::string, core::MachineType>& types,
+                    const std::string& team, int block, int blocks) {
+  auto limits = settings.platform.teams.find(team);
+  if (limits == settings.platform.teams.end()) return 0;
+  double biggest = 0;
+  for (const auto& [name, t] : types) biggest = std::max(biggest, t.cpus);
+  return granted(limits->second.cpus_max, 2 * biggest, team, block, blocks);
+}
+
 }  // namespace rooksill::placement
--- a/src/rooksill/placement/grants.h
+++ b/src/rooksill/placement/grants.h
@@ -1,6 +1,7 @@
 // How a team's limit is split among the blocks.
 #pragma once
 
+#include "rooksill/core/model.h"
 #include "rooksill/settings/settings.h"
 
 namespace rooksill::placement {
@@ -10,4 +11,8 @@
 // limit that is not set is infinite.
 double granted(double limit, double whole_below, const std::string& team, int block, int blocks);
 
+// The same for a team's limit on cores, given the machine types there are.
+double granted_cpus(const Settings& settings, const std::map<std::string, core::MachineType>& types,
+                    const std::string& team, int block, int blocks);
+
 }  // namespace rooksill::placement
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -86,17 +86,15 @@
   const auto& p = ctx_.settings.platform;
   auto team = p.teams.find(s.team);
   if (team == p.teams.end()) return false;
-  double biggest = 0, biggest_gpus = 0;
-  for (const auto& [n, t] : replica_.types) {
-    biggest = std::max(biggest, t.cpus);
-    biggest_gpus = std::max(biggest_gpus, t.gpus);
-  }
+  double biggest_gpus = 0;
+  for (const auto& [n, t] : replica_.types) biggest_gpus = std::max(biggest_gpus, t.gpus);
   const auto& used = team_use_[{block, s.team}];
   const int blocks = static_cast<int>(replica_.leases.size());
-  return used.first + s.cpus <= placement::granted(team->second.cpus_max, 2 * biggest, s.team,
-                                                   block, blocks) + 1e-9 &&
-         used.second + s.gpus <= placement::granted(team->second.gpus_max, 2 * biggest_gpus,
-                                                    s.team, block, blocks) + 1e-9;
+  return used.first + s.cpus <=
+             placement::granted_cpus(ctx_.settings, replica_.types, s.team, block, blocks) + 1e-9 &&
+         used.second + s.gpus <=
+             placement::granted(team->second.gpus_max, 2 * biggest_gpus, s.team, block, blocks) +
+                 1e-9;
 }
 
 Holder::Room* Holder::choose(const Job& job, std::map<std::string, Room>& rooms,
--- a/src/rooksill/policy/demand.cc
+++ b/src/rooksill/policy/demand.cc
@@ -5,7 +5,7 @@
 namespace rooksill::policy {
 
 namespace {
-constexpr double kWeight = 0.3;   // of the newest period in the running means
+constexpr double kWeight = 0.3;  // of the newest period in the running means
 constexpr double kLowestMu = 1e-3;
 }  // namespace
 
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -87,31 +87,32 @@
     w.push_back(std::move(p));
   }
   json body{{"guards", std::move(g)}, {"writes", std::move(w)}};
-  call_("POST", "/txn", body.dump(-1, ' ', false, json::error_handler_t::replace), 1.0, [this, done = std::move(done)](const core::CallDone& r) {
-    note(r);
-    TxnResult out;
-    if (r.status == 429 || r.status == 503) {
-      out.outcome = Outcome::kRefused;
-      writes_.drain();
-    } else if (r.status == 0) {
-      out.outcome = r.refused ? Outcome::kRefused : Outcome::kUnknown;
-    } else {
-      json j = json::parse(r.body, nullptr, false);
-      if (r.status == 200 && j.is_object() && j.contains("epoch") &&
-          j["epoch"].is_number_unsigned()) {
-        out.outcome = Outcome::kApplied;
-        out.stamp = j["epoch"];
-      } else if (r.status == 409 && j.is_object() && j.contains("failed") &&
-                 j["failed"].is_array()) {
-        out.outcome = Outcome::kConflict;
-        for (const auto& k : j["failed"])
-          if (k.is_string()) out.failed.push_back(k);
-      } else if (r.status == 400) {
-        out.outcome = Outcome::kNoLease;
-      }
-    }
-    done(out);
-  });
+  call_("POST", "/txn", body.dump(-1, ' ', false, json::error_handler_t::replace), 1.0,
+        [this, done = std::move(done)](const core::CallDone& r) {
+          note(r);
+          TxnResult out;
+          if (r.status == 429 || r.status == 503) {
+            out.outcome = Outcome::kRefused;
+            writes_.drain();
+          } else if (r.status == 0) {
+            out.outcome = r.refused ? Outcome::kRefused : Outcome::kUnknown;
+          } else {
+            json j = json::parse(r.body, nullptr, false);
+            if (r.status == 200 && j.is_object() && j.contains("epoch") &&
+                j["epoch"].is_number_unsigned()) {
+              out.outcome = Outcome::kApplied;
+              out.stamp = j["epoch"];
+            } else if (r.status == 409 && j.is_object() && j.contains("failed") &&
+                       j["failed"].is_array()) {
+              out.outcome = Outcome::kConflict;
+              for (const auto& k : j["failed"])
+                if (k.is_string()) out.failed.push_back(k);
+            } else if (r.status == 400) {
+              out.outcome = Outcome::kNoLease;
+            }
+          }
+          done(out);
+        });
   return true;
 }
 
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -60,9 +60,8 @@
   double per_s_, level_, last_ = 0;
 };
 
-using CallFn =
-    std::function<void(std::string method, std::string path, std::string body, double timeout_s,
-                       core::CallHandler)>;
+using CallFn = std::function<void(std::string method, std::string path, std::string body,
+                                  double timeout_s, core::CallHandler)>;
 
 class Client {
  public:
--- a/src/rooksill/state/committer.cc
+++ b/src/rooksill/state/committer.cc
@@ -8,8 +8,7 @@
 constexpr double kRetry = 0.2;
 }
 
-bool Committer::commit(std::vector<Guard> guards, std::vector<Write> writes,
-                       Client::TxnDone done) {
+bool Committer::commit(std::vector<Guard> guards, std::vector<Write> writes, Client::TxnDone done) {
   std::vector<Write> copy = writes;
   return client_.txn(std::move(guards), std::move(writes),
                      [this, copy = std::move(copy), done = std::move(done)](const TxnResult& r) {
--- a/src/rooksill/state/syncer.cc
+++ b/src/rooksill/state/syncer.cc
@@ -8,10 +8,11 @@
 
 namespace {
 constexpr int kPage = 300;
-constexpr double kPause = 0.05;       // between two watches: each is a request
-constexpr double kRetry = 0.3;        // after an error
-constexpr int kWatchMs = 10000;       // how long the service holds a watch
-constexpr double kWatchTimeout = 13;  // ours, past which it is given up
+constexpr double kPause = 0.05;  // between two watches: each is a request
+constexpr double kRetry = 0.3;   // after an error
+// A watch is short: one whose answer is lost keeps this node blind for as long as it is waited for.
+constexpr double kWatchReports = 0.33;
+constexpr double kWatchPatience = 0.6;  // s beyond that
 }  // namespace
 
 void Syncer::tick() {
@@ -59,16 +60,18 @@
   if (!leader_seen_) replica_.forget_leader(epoch_ + 1);
   listed_ = true;
   replica_.synced_epoch = std::max(replica_.synced_epoch, epoch_);
-  if (!replica_.synced) ctx_.info("state", "replica loaded: {} jobs, epoch {}", replica_.jobs.size(), epoch_);
+  if (!replica_.synced)
+    ctx_.info("state", "replica loaded: {} jobs, epoch {}", replica_.jobs.size(), epoch_);
   replica_.synced = true;
   last_sync_ = ctx_.now.steady;
   watch();
 }
 
 void Syncer::watch() {
+  const double hold = kWatchReports * ctx_.settings.platform.report_s;
   const std::string path = "/watch?starts=" + core::kPrefix + "&from=" + std::to_string(epoch_) +
-                           "&hold_ms=" + std::to_string(kWatchMs);
-  busy_ = client_.raw("GET", path, "", kWatchTimeout,
+                           "&hold_ms=" + std::to_string(static_cast<int>(hold * 1000));
+  busy_ = client_.raw("GET", path, "", hold + kWatchPatience,
                       [this](const core::CallDone& d) { on_watch(d); });
   if (!busy_) next_ = ctx_.now.steady + kPause;
 }
--- /dev/null
+++ b/tests/runner/main.cc
@@ -0,0 +1,565 @@
+// Runs one scenario: a small text file. See docs/testing.md for its words.
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "rooksill/api/codec.h"
+#include "rooksill/cloud/codec.h"
+#include "rooksill/core/codec.h"
+#include "rooksill/net/http_parser.h"
+#include "rooksill/net/peer_codec.h"
+#include "rooksill/policy/demand.h"
+#include "rooksill/policy/sizing.h"
+#include "rooksill/worker/codec.h"
+#include "standins/world.h"
+
+namespace {
+
+using standins::UserJob;
+using standins::World;
+
+struct Failure : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Line {
+  int number = 0;
+  std::vector<std::string> words;
+  std::map<std::string, std::string> named;
+
+  std::string word(size_t i) const {
+    if (i >= words.size()) throw Failure("line " + std::to_string(number) + ": too short");
+    return words[i];
+  }
+  double number_at(size_t i) const { return std::stod(word(i)); }
+  double get(const std::string& name, double otherwise) const {
+    auto it = named.find(name);
+    return it == named.end() ? otherwise : std::stod(it->second);
+  }
+  std::string text(const std::string& name, const std::string& otherwise) const {
+    auto it = named.find(name);
+    return it == named.end() ? otherwise : it->second;
+  }
+};
+
+std::vector<std::string> split(const std::string& s, char c) {
+  std::vector<std::string> out;
+  std::istringstream in(s);
+  for (std::string part; std::getline(in, part, c);) out.push_back(part);
+  return out;
+}
+
+std::vector<Line> parse(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) throw Failure(path + ": cannot be read");
+  std::vector<Line> out;
+  int number = 0;
+  for (std::string text; std::getline(in, text);) {
+    ++number;
+    text = text.substr(0, text.find('#'));
+    Line line;
+    line.number = number;
+    std::istringstream words(text);
+    for (std::string w; words >> w;) {
+      auto eq = w.find('=');
+      if (eq != std::string::npos && eq > 0)
+        line.named[w.substr(0, eq)] = w.substr(eq + 1);
+      else
+        line.words.push_back(w);
+    }
+    if (!line.words.empty()) out.push_back(line);
+  }
+  return out;
+}
+
+[[noreturn]] void fail(const Line& line, const std::string& why) {
+  throw Failure("line " + std::to_string(line.number) + ": " + why);
+}
+
+void near(const Line& line, double got, double wanted, double tolerance) {
+  if (std::abs(got - wanted) > tolerance)
+    fail(line, "got " + std::to_string(got) + ", expected " + std::to_string(wanted));
+}
+
+UserJob make_job(const Line& l, const std::string& id) {
+  UserJob j;
+  j.truth.id = id;
+  j.truth.image = l.text("image", "img-1");
+  j.truth.tasks = static_cast<int>(l.get("tasks", 1));
+  j.truth.service = l.text("shape", "batch") == "service";
+  j.truth.fails = l.get("fails", 0) != 0;
+  j.truth.cpus = l.get("cpus", 2);
+  j.truth.memory_gb = l.get("memory", 2);
+  j.truth.image_gb = l.get("image_gb", 0.5);
+  j.truth.run_s = l.get("run", 5);
+  j.truth.checkpoint_s = l.get("checkpoint", 0);
+  j.truth.save_s = l.get("save", 0);
+  j.team = l.text("team", "team-a");
+  j.zone = l.text("zone", "");
+  if (l.named.count("types") != 0) j.types = split(l.text("types", ""), ',');
+  j.spot = l.get("spot", 0) != 0;
+  j.spread = l.get("spread", 0) != 0;
+  j.together = l.get("together", 0) != 0;
+  using nlohmann::json;
+  j.body = json{{"id", id},
+                {"flock", l.text("class", "work")},
+                {"owner", j.team},
+                {"shape", l.text("shape", "batch")},
+                {"rank", l.text("rank", "standard")},
+                {"pieces", j.truth.tasks},
+                {"cores", j.truth.cpus},
+                {"gpus", 0.0},
+                {"memory_gb", j.truth.memory_gb},
+                {"bundle", j.truth.image},
+                {"size_gb", j.truth.image_gb},
+                {"builds", j.types.empty() ? json(nullptr) : json(j.types)},
+                {"ward", j.zone.empty() ? json(nullptr) : json(j.zone)},
+                {"together", j.together},
+                {"spread", j.spread},
+                {"loaners", j.spot},
+                {"guess_s", j.truth.service ? 0.0 : j.truth.run_s},
+                {"snapshot_s", j.truth.checkpoint_s},
+                {"flush_s", j.truth.save_s},
+                {"due_s", nullptr}};
+  for (const auto& [k, v] : l.named)
+    if (k.rfind("body.", 0) == 0) {
+      auto value = json::parse(v, nullptr, false);
+      j.body[k.substr(5)] = value.is_discarded() ? json(v) : value;
+    }
+  if (l.named.count("drop") != 0) j.body.erase(l.text("drop", ""));
+  return j;
+}
+
+std::string job_id(int n) {
+  std::string d = std::to_string(n);
+  return "wk-" + std::string(d.size() < 6 ? 6 - d.size() : 0, '0') + d;
+}
+
+class WorldScenario {
+ public:
+  WorldScenario(const std::vector<Line>& lines, uint64_t seed, bool verbose) : lines_(lines) {
+    options_.seed = seed;
+    options_.verbose = verbose;
+  }
+
+  void run() {
+    for (const auto& l : lines_) {
+      const std::string verb = l.word(0);
+      if (verb == "world") {
+        set_up(l);
+      } else if (verb == "type") {
+        standins::TypeSpec t;
+        t.name = l.word(1);
+        t.cpus = l.get("cpus", 16);
+        t.memory_gb = l.get("memory", 64);
+        t.price = l.get("price", 1);
+        t.spot_price = l.get("spot", 0.4);
+        t.boot_s = l.get("boot", 2);
+        t.fetch_gb_per_s = l.get("fetch", 1);
+        t.zones = split(l.text("zones", "a,b"), ',');
+        t.capacity = static_cast<int>(l.get("capacity", 8));
+        world().add_type(t);
+      } else if (verb == "team") {
+        world().add_team(l.word(1), l.get("cpus", 0), l.get("max", 0));
+      } else if (verb == "start") {
+        world().start();
+      } else if (verb == "at") {
+        Line rest = l;
+        rest.words.erase(rest.words.begin(), rest.words.begin() + 2);
+        world().at(l.number_at(1), [this, rest] { act(rest); });
+      } else if (verb == "faults") {
+        draw_faults(l);
+      } else if (verb == "run") {
+        world().run_until(l.number_at(1));
+      } else if (verb == "expect") {
+        expect(l);
+      } else if (verb != "kind") {
+        fail(l, "unknown word " + verb);
+      }
+    }
+    if (!world().violations().empty()) throw Failure(world().violations().front());
+    if (!world().state().broken.empty()) throw Failure(world().state().broken.front());
+  }
+
+ private:
+  World& world() {
+    if (!world_) world_ = std::make_unique<World>(options_);
+    return *world_;
+  }
+
+  void set_up(const Line& l) {
+    options_.nodes = static_cast<int>(l.get("nodes", options_.nodes));
+    options_.report_s = l.get("report", options_.report_s);
+    options_.lease_s = l.get("lease", options_.lease_s);
+    options_.cancel_s = l.get("cancel", options_.cancel_s);
+    options_.state_rps = l.get("rps", options_.state_rps);
+    options_.write_rps = l.get("writes", options_.write_rps);
+    options_.list_lag_s = l.get("lag", options_.list_lag_s);
+    options_.cloud_rps = l.get("cloud", options_.cloud_rps);
+  }
+
+  int node_of(const std::string& word) {
+    if (word == "leader") return std::max(0, world().leader());
+    if (word == "other") return (std::max(0, world().leader()) + 1) % options_.nodes;
+    return std::stoi(word);
+  }
+
+  void act(const Line& l) {
+    const std::string verb = l.word(0);
+    const double for_s = l.get("for", 5);
+    const bool hold = l.text("mode", "hold") == "hold";
+    if (verb == "submit") {
+      const int first = std::stoi(l.word(1)), count = static_cast<int>(l.get("count", 1));
+      for (int i = 0; i < count; ++i) {
+        UserJob j = make_job(l, job_id(first + i));
+        world().at(world().now() + i * l.get("every", 0.05), [this, j] { world().submit(j); });
+      }
+    } else if (verb == "cancel") {
+      world().cancel(job_id(std::stoi(l.word(1))));
+    } else if (verb == "crash") {
+      if (l.word(1) == "all")
+        for (int i = 0; i < options_.nodes; ++i) world().crash(i, for_s);
+      else
+        world().crash(node_of(l.word(1)), for_s);
+    } else if (verb == "roll") {
+      for (int i = 0; i < options_.nodes; ++i)
+        world().at(world().now() + i * l.get("every", 5),
+                   [this, i, for_s] { world().crash(i, for_s); });
+    } else if (verb == "cut") {
+      world().cut(node_of(l.word(1)), l.text("from", "all"), for_s, hold);
+    } else if (verb == "refuse") {
+      world().refuse(node_of(l.word(1)), for_s);
+    } else if (verb == "state_outage") {
+      world().state_outage(for_s);
+    } else if (verb == "cloud_outage") {
+      world().cloud_outage(for_s);
+    } else if (verb == "machine_cut") {
+      world().machine_cut(static_cast<int>(l.get("count", 1)), for_s, hold);
+    } else if (verb == "machine_hang") {
+      world().machine_hang(static_cast<int>(l.get("count", 1)), for_s);
+    } else if (verb == "machine_fault") {
+      world().machine_fault(static_cast<int>(l.get("count", 1)));
+    } else if (verb == "take") {
+      world().take_spot(l.get("share", 0.5), l.get("notice", 0));
+    } else if (verb == "never_boot") {
+      world().cloud().never_boot = static_cast<int>(l.get("count", 1));
+    } else if (verb == "capacity") {
+      for (auto& t : world().cloud().types) t.capacity = static_cast<int>(l.get("to", 0));
+    } else if (verb == "lose") {
+      world().lose_answers(l.get("chance", 0.3), for_s);
+    } else if (verb == "late") {
+      world().late_requests(l.get("chance", 0.3), l.get("by", 3), for_s);
+    } else if (verb == "expect") {
+      Line rest = l;
+      expect(rest);
+    } else {
+      fail(l, "unknown act " + verb);
+    }
+  }
+
+  // Troubles drawn from the seed, alone and overlapping.
+  void draw_faults(const Line& l) {
+    auto& rng = world().rng();
+    std::uniform_real_distribution<double> unit(0, 1);
+    const double from = l.get("from", 10), to = l.get("to", 60);
+    const int count = static_cast<int>(l.get("count", 8));
+    for (int i = 0; i < count; ++i) {
+      const double t = from + unit(rng) * (to - from), for_s = 0.3 + unit(rng) * 9;
+      const int node = static_cast<int>(rng() % static_cast<uint64_t>(options_.nodes));
+      const bool hold = unit(rng) < 0.6;
+      const double p = unit(rng);
+      const auto kind = rng() % 14;
+      static const char* sides[] = {"state", "workers", "peers", "all"};
+      const std::string side = sides[rng() % 4];
+      world().at(t, [this, kind, node, for_s, hold, side, p] {
+        World& w = world();
+        switch (kind) {
+          case 0:
+          case 1:
+            return w.crash(node, std::min(for_s, 3.0));
+          case 2:
+            return w.crash(node, 0.1);
+          case 3:
+            for (int k = 0; k < options_.nodes; ++k) w.crash(k, 1 + 0.2 * k);
+            return;
+          case 4:
+          case 5:
+          case 6:
+            return w.cut(node, side, for_s, hold);
+          case 7:
+            return w.refuse(node, for_s);
+          case 8:
+            return w.state_outage(for_s);
+          case 9:
+            return w.machine_cut(1 + static_cast<int>(p * 2), for_s, hold);
+          case 10:
+            return w.machine_hang(1 + static_cast<int>(p * 2), for_s);
+          case 11:
+            return w.lose_answers(0.1 + 0.4 * p, for_s);
+          case 12:
+            return w.late_requests(0.1 + 0.4 * p, 1 + 5 * p, for_s);
+          case 13:
+            return w.take_spot(0.6, p < 0.5 ? 0 : 3);
+        }
+      });
+    }
+  }
+
+  void expect(const Line& l) {
+    const std::string what = l.word(1);
+    World& w = world();
+    auto one = [&](size_t i) -> UserJob& {
+      UserJob* j = w.job(job_id(std::stoi(l.word(i))));
+      if (j == nullptr) fail(l, "no such job");
+      return *j;
+    };
+    if (what == "over") {
+      if (!w.all_over()) {
+        for (const auto& [id, j] : w.jobs())
+          if (j.told.empty() && !j.rejected)
+            fail(l, id + " is not over: accepted " + std::to_string(j.accepted) + ", " +
+                        std::to_string(w.running(id)) + " running");
+      }
+    } else if (what == "done" || what == "withdrawn") {
+      if (one(2).told != what) fail(l, l.word(2) + " was told '" + one(2).told + "'");
+    } else if (what == "running") {
+      const int n = w.running(one(2).truth.id);
+      if (n != static_cast<int>(l.number_at(3))) fail(l, std::to_string(n) + " running");
+    } else if (what == "status") {
+      if (one(2).status != static_cast<int>(l.number_at(3)))
+        fail(l, "status " + std::to_string(one(2).status));
+    } else if (what == "starts_at_most") {
+      const int n = w.starts_of(one(2).truth.id);
+      if (n > static_cast<int>(l.number_at(3))) fail(l, std::to_string(n) + " starts");
+    } else if (what == "machines_at_most") {
+      if (w.machines() > static_cast<int>(l.number_at(2)))
+        fail(l, std::to_string(w.machines()) + " machines");
+    } else if (what == "machines_at_least") {
+      if (w.machines() < static_cast<int>(l.number_at(2)))
+        fail(l, std::to_string(w.machines()) + " machines");
+    } else if (what == "leader") {
+      if (w.leader() < 0) fail(l, "nobody leads");
+    } else if (what == "refused_at_most") {
+      if (w.state().refused > static_cast<uint64_t>(l.number_at(2)))
+        fail(l, std::to_string(w.state().refused) + " refused");
+    } else {
+      fail(l, "unknown expectation " + what);
+    }
+  }
+
+  std::vector<Line> lines_;
+  standins::WorldOptions options_;
+  std::unique_ptr<World> world_;
+};
+
+// Figures of the paper's rule against values worked out apart from the code.
+void run_sizing(const std::vector<Line>& lines) {
+  namespace p = rooksill::policy;
+  p::Demand demand;
+  for (const auto& l : lines) {
+    const std::string verb = l.word(0);
+    if (verb == "busy") {
+      near(l, p::expected_busy(l.get("t", 1), l.get("y", 0), l.get("mu", 1), l.get("lambda", 1)),
+           l.get("is", 0), l.get("within", 1e-6));
+    } else if (verb == "full") {
+      near(l,
+           p::chance_full(l.get("s", 1), static_cast<int>(l.get("y", 0)),
+                          static_cast<int>(l.get("rented", 1)), l.get("mu", 1), l.get("lambda", 1)),
+           l.get("is", 0), l.get("within", 1e-6));
+    } else if (verb == "unplanned") {
+      near(l,
+           p::expected_unplanned(l.get("t", 1), static_cast<int>(l.get("y", 0)),
+                                 static_cast<int>(l.get("rented", 1)), l.get("mu", 1),
+                                 l.get("lambda", 1)),
+           l.get("is", 0), l.get("within", 1e-6));
+    } else if (verb == "size") {
+      p::SizingInput in;
+      in.x = static_cast<int>(l.get("x", 0));
+      in.y = l.get("y", 0);
+      in.lambda = l.get("lambda", 1);
+      in.mu = l.get("mu", 1);
+      in.ceiling = static_cast<int>(l.get("ceiling", 20));
+      in.periods = static_cast<int>(l.get("periods", 3));
+      in.c1 = l.get("c1", 1);
+      in.c2 = l.get("c2", 3);
+      in.h = l.get("h", 1);
+      const auto out = p::size_fleet(in);
+      if (l.named.count("u") != 0) near(l, out.u, l.get("u", 0), 0);
+      if (l.named.count("at_least") != 0 && out.u < l.get("at_least", 0))
+        fail(l, "u is " + std::to_string(out.u));
+      if (l.named.count("at_most") != 0 && out.u > l.get("at_most", 0))
+        fail(l, "u is " + std::to_string(out.u));
+      if (l.named.count("cost") != 0) near(l, out.cost, l.get("cost", 0), l.get("within", 1e-6));
+    } else if (verb == "period") {
+      demand.arrived(l.get("arrived", 0));
+      demand.finished(l.get("finished", 0));
+      demand.busy(l.get("busy", 0), 1);
+      demand.end_period(1, l.get("cap", 3));
+    } else if (verb == "demand") {
+      if (l.named.count("lambda") != 0)
+        near(l, demand.lambda(), l.get("lambda", 0), l.get("within", 1e-6));
+      if (l.named.count("mu") != 0) near(l, demand.mu(), l.get("mu", 0), l.get("within", 1e-6));
+    } else if (verb != "kind") {
+      fail(l, "unknown word " + verb);
+    }
+  }
+}
+
+std::string unescape(std::string s) {
+  std::string out;
+  for (size_t i = 0; i < s.size(); ++i) {
+    if (s[i] != '\\' || i + 1 >= s.size()) {
+      out.push_back(s[i]);
+      continue;
+    }
+    ++i;
+    if (s[i] == 'r')
+      out.push_back('\r');
+    else if (s[i] == 'n')
+      out.push_back('\n');
+    else if (s[i] == 's')
+      out.push_back(' ');
+    else
+      out.push_back(s[i]);
+  }
+  return out;
+}
+
+// Each message whole, and cut into single bytes, must come to the same end.
+void run_http(const std::vector<Line>& lines) {
+  using rooksill::net::HttpParser;
+  for (const auto& l : lines) {
+    if (l.word(0) == "kind") continue;
+    const auto kind =
+        l.word(0) == "request" ? HttpParser::Kind::kRequest : HttpParser::Kind::kResponse;
+    std::string text;
+    for (size_t i = 2; i < l.words.size(); ++i) text += l.words[i];
+    text = unescape(text);
+    const std::string wanted = l.word(1);
+    for (size_t piece : {text.size(), size_t{1}, size_t{3}}) {
+      HttpParser parser(kind, 256, 64);
+      std::string got = "more";
+      for (size_t at = 0; at < text.size() && got == "more"; at += piece) {
+        size_t used = 0;
+        auto state = parser.feed(std::string_view(text).substr(at, piece), used);
+        if (state == HttpParser::State::kDone) got = "ok";
+        if (state == HttpParser::State::kError) got = std::to_string(parser.error_status());
+      }
+      if (got != wanted) fail(l, "got " + got + " in pieces of " + std::to_string(piece));
+    }
+  }
+}
+
+// Truncated and mutated input, from a fixed seed: nothing may crash, and no text may be
+// accepted that does not decode to the same record again.
+void run_fuzz(const std::vector<Line>& lines) {
+  std::mt19937_64 rng(7);
+  const std::string report =
+      R"({"perch":"n-000231","address":"10.1.0.232:9000","build":"g8","ward":"a","loaners":true,"tenure":1,"tally":88,"baton":41,"warning_s":null,"pieces":[{"piece":"wk-000412/3","try":2,"status":"running"}]})";
+  const std::string job =
+      R"({"id":"wk-000412","flock":"t","owner":"v","shape":"batch","rank":"urgent","pieces":16,"cores":8.0,"gpus":1.0,"memory_gb":64.0,"bundle":"i","size_gb":6.2,"builds":["g8"],"ward":null,"together":true,"spread":false,"loaners":true,"guess_s":240.0,"snapshot_s":30.0,"flush_s":4.0,"due_s":900.0})";
+  const std::string list =
+      R"({"perches":[{"id":"n-1","address":"a:1","build":"g8","ward":"a","loaners":true,"status":"running","held_s":61.5}],"truncated":false})";
+  const std::string catalog =
+      R"({"builds":[{"label":"g8","cores":96,"gpus":8,"memory_gb":768,"local_gb":200,"pull_gb_per_s":1.0,"hourly":12.0,"market_price":4.5,"ready_s":45,"wards":["a","b"]}]})";
+  const std::string http = "POST /api/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello";
+  rooksill::net::Beat beat;
+  beat.machines.resize(2);
+  const std::string peer = rooksill::net::pack(beat);
+  for (const auto& l : lines) {
+    if (l.word(0) == "kind") continue;
+    const int rounds = static_cast<int>(l.get("rounds", 2000));
+    const std::string what = l.word(0);
+    int taken = 0;
+    for (int i = 0; i < rounds; ++i) {
+      std::string text = what == "report"    ? report
+                         : what == "job"     ? job
+                         : what == "list"    ? list
+                         : what == "catalog" ? catalog
+                         : what == "http"    ? http
+                                             : peer;
+      if (i > 0) {
+        for (uint64_t k = 0; k < 1 + rng() % 4; ++k)
+          text[rng() % text.size()] = static_cast<char>(rng());
+        if (rng() % 3 == 0) text.resize(rng() % text.size());
+      }
+      std::string error;
+      if (what == "report") {
+        if (auto r = rooksill::worker::parse_report(text)) ++taken;
+      } else if (what == "job") {
+        auto spec = rooksill::api::parse_job(text, error);
+        if (spec) {
+          ++taken;
+          rooksill::core::JobSpec again;
+          auto encoded = rooksill::core::encode_spec(*spec);
+          if (!rooksill::core::decode_spec(encoded, again) ||
+              rooksill::core::encode_spec(again) != encoded)
+            fail(l, "does not come back: " + text);
+          if (spec->tasks < 1 || spec->tasks > 100000) fail(l, "impossible count");
+        } else if (error.empty()) {
+          fail(l, "refused without a reason");
+        }
+      } else if (what == "list") {
+        if (rooksill::cloud::parse_list(text)) ++taken;
+      } else if (what == "catalog") {
+        if (rooksill::cloud::parse_catalog(text)) ++taken;
+      } else if (what == "http") {
+        rooksill::net::HttpParser parser(rooksill::net::HttpParser::Kind::kRequest, 128, 32);
+        size_t used = 0;
+        if (parser.feed(text, used) == rooksill::net::HttpParser::State::kDone) {
+          ++taken;
+          if (parser.take().body.size() > 32) fail(l, "body over its bound");
+        }
+      } else {
+        rooksill::net::Beat b;
+        if (rooksill::net::unpack(text, b)) ++taken;
+      }
+      if (i == 0 && taken == 0) fail(l, "the whole message is not taken");
+    }
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    std::cerr << "usage: scenario FILE [SEED] [-v]\n";
+    return 2;
+  }
+  const std::string path = argv[1];
+  bool verbose = false;
+  std::vector<uint64_t> seeds;
+  for (int i = 2; i < argc; ++i) {
+    if (std::string(argv[i]) == "-v")
+      verbose = true;
+    else
+      seeds.push_back(std::stoull(argv[i]));
+  }
+  uint64_t seed = 1;
+  try {
+    const auto lines = parse(path);
+    const Line head = lines.empty() ? Line{} : lines.front();
+    const std::string kind = !lines.empty() && head.word(0) == "kind" ? head.word(1) : "world";
+    if (kind == "sizing") {
+      run_sizing(lines);
+    } else if (kind == "http") {
+      run_http(lines);
+    } else if (kind == "fuzz") {
+      run_fuzz(lines);
+    } else {
+      if (seeds.empty())
+        for (int i = 0; i < static_cast<int>(head.get("seeds", 1)); ++i)
+          seeds.push_back(static_cast<uint64_t>(head.get("first", 1)) + static_cast<uint64_t>(i));
+      for (uint64_t s : seeds) {
+        seed = s;
+        WorldScenario(lines, s, verbose).run();
+      }
+    }
+  } catch (const std::exception& e) {
+    std::cerr << path << " seed " << seed << ": " << e.what() << "\n";
+    return 1;
+  }
+  std::cout << path << ": ok\n";
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/world.cc
@@ -0,0 +1,600 @@
+#include "standins/world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+
+namespace standins {
+
+using nlohmann::json;
+namespace core = rooksill::core;
+
+World::World(const WorldOptions& o)
+    : options_(o),
+      rng_(o.seed),
+      state_(o.state_rps, o.write_rps, o.value_bytes, o.txn_ops),
+      cloud_(o.cloud_rps, o.list_lag_s) {}
+
+World::~World() = default;
+
+void World::violate(const std::string& text) {
+  violations_.push_back("t=" + std::to_string(now_) + " " + text);
+}
+
+void World::add_type(const TypeSpec& type) { cloud_.types.push_back(type); }
+
+void World::add_team(const std::string& name, double cpus, double cpus_max) {
+  teams_[name] = {cpus, cpus_max};
+}
+
+void World::start() {
+  std::set<std::string> zones;
+  for (const auto& t : cloud_.types) zones.insert(t.zones.begin(), t.zones.end());
+  for (int i = 0; i < options_.nodes; ++i) {
+    rooksill::Settings s;
+    auto& p = s.platform;
+    p.label = "c" + std::to_string(i);
+    p.state_address = "state:1";
+    p.cloud_address = "cloud:1";
+    for (int k = 0; k < options_.nodes; ++k)
+      if (k != i) p.peers.push_back({"c" + std::to_string(k), "c" + std::to_string(k) + ":2"});
+    p.controllers = options_.nodes;
+    p.zones.assign(zones.begin(), zones.end());
+    for (const auto& [name, t] : teams_) p.teams[name] = {t.first, t.second, 0, 0};
+    p.report_s = options_.report_s;
+    p.lease_s = options_.lease_s;
+    p.cancel_s = options_.cancel_s;
+    p.state_rps = options_.state_rps;
+    p.state_write_rps = options_.write_rps;
+    p.state_txn_ops = options_.txn_ops;
+    p.state_value_bytes = options_.value_bytes;
+    p.cloud_rps = options_.cloud_rps;
+    p.cloud_list_lag_s = options_.list_lag_s;
+    settings_.push_back(s);
+    Node n;
+    n.label = p.label;
+    nodes_.push_back(std::move(n));
+  }
+  for (int i = 0; i < options_.nodes; ++i) boot(i);
+}
+
+void World::boot(int node) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  ++n.generation;
+  n.queue.clear();
+  n.scheduled = false;
+  n.core = std::make_unique<core::Core>(settings_[static_cast<size_t>(node)], rng_(), 1.7e9 + now_,
+                                        options_.verbose);
+  deliver(node, core::Tick{});
+}
+
+void World::at(double t, std::function<void()> f) {
+  events_.emplace(std::max(t, now_), std::move(f));
+}
+
+void World::run_until(double t) {
+  double next_step = now_;
+  while (now_ < t) {
+    // The world moves in short steps; events fall between them.
+    while (!events_.empty() && events_.begin()->first <= next_step) {
+      auto node = events_.extract(events_.begin());
+      now_ = std::max(now_, node.key());
+      node.mapped()();
+    }
+    now_ = next_step;
+    state_.tick(now_);
+    cloud_.tick(now_);
+    step_machines();
+    next_step += 0.02;
+  }
+}
+
+double World::latency() { return std::uniform_real_distribution<double>(0.0005, 0.004)(rng_); }
+
+void World::deliver(int node, core::Command c) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  if (!n.core) return;
+  n.queue.push_back(std::move(c));
+  if (n.scheduled) return;
+  n.scheduled = true;
+  at(now_ + 0.0005, [this, node, g = n.generation] { process(node, g); });
+}
+
+void World::process(int node, uint64_t generation) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  if (!n.core || n.generation != generation) return;
+  n.scheduled = false;
+  std::vector<core::Command> batch;
+  batch.swap(n.queue);
+  n.core->run(batch, {now_ + 100.0 * node, 1.7e9 + now_ + 0.03 * node});
+  perform(node);
+  const bool ticked = std::any_of(batch.begin(), batch.end(), [](const core::Command& c) {
+    return std::holds_alternative<core::Tick>(c);
+  });
+  if (ticked)
+    at(now_ + core::Core::kTick, [this, node, generation] {
+      if (nodes_[static_cast<size_t>(node)].generation == generation) deliver(node, core::Tick{});
+    });
+}
+
+void World::perform(int node) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  core::Effects out = std::move(n.core->effects());
+  n.core->effects().clear();
+  if (options_.verbose)
+    for (const auto& l : out.log)
+      std::cerr << now_ << " " << n.label << " " << l.component << ": " << l.text << "\n";
+  for (const auto& r : out.replies) {
+    auto it = n.pending.find(r.request);
+    if (it == n.pending.end()) continue;
+    auto f = std::move(it->second);
+    n.pending.erase(it);
+    f(r);
+  }
+  for (const auto& p : out.peer) {
+    const int to = std::stoi(p.label.substr(1));
+    double until = 0, until2 = 0;
+    bool hold = false, hold2 = false;
+    double when = now_ + latency();
+    const bool a = cut_off(node, "peers", until, hold), b = cut_off(to, "peers", until2, hold2);
+    if (a || b) {
+      if ((a && !hold) || (b && !hold2)) continue;
+      when = std::max(until, until2) + latency();
+    }
+    at(when, [this, to, bytes = p.bytes] { deliver(to, core::PeerMessage{bytes}); });
+  }
+  for (const auto& c : out.calls) call(node, c);
+}
+
+bool World::cut_off(int node, const std::string& side, double& until, bool& hold) const {
+  const Node& n = nodes_[static_cast<size_t>(node)];
+  for (const auto& s : {side, std::string("all")}) {
+    auto it = n.cuts.find(s);
+    if (it != n.cuts.end() && it->second.first > now_) {
+      until = it->second.first;
+      hold = it->second.second;
+      return true;
+    }
+  }
+  return false;
+}
+
+void World::call(int node, const core::Call& c) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  const uint64_t generation = n.generation;
+  auto answered = std::make_shared<bool>(false);
+  auto finish = [this, node, generation, id = c.id, answered](int status, std::string body,
+                                                              bool refused) {
+    if (*answered) return;
+    *answered = true;
+    if (nodes_[static_cast<size_t>(node)].generation != generation) return;
+    deliver(node, core::CallDone{id, status, std::move(body), refused});
+  };
+  at(now_ + c.timeout_s, [finish] { finish(0, "", false); });
+
+  const std::string side = c.target == core::Target::kState   ? "state"
+                           : c.target == core::Target::kCloud ? "cloud"
+                                                              : "workers";
+  double until = 0;
+  bool hold = false;
+  double when = now_ + latency();
+  Machine* machine = nullptr;
+  if (c.target == core::Target::kWorker) {
+    auto it = machines_.find(c.address.substr(0, c.address.find(':')));
+    if (it == machines_.end() || it->second.worker->dead) return;  // silent
+    machine = &it->second;
+    if (machine->cut_until > now_) {
+      if (!machine->hold) return;
+      when = machine->cut_until + latency();
+    }
+  }
+  if (cut_off(node, side, until, hold)) {
+    if (!hold) return;
+    when = std::max(when, until + latency());
+  }
+  std::uniform_real_distribution<double> chance(0, 1);
+  const bool lost = chance(rng_) < lose_chance_;
+  if (c.target != core::Target::kCloud && chance(rng_) < late_chance_)
+    when += late_s_ * chance(rng_);
+  const std::string name = machine != nullptr ? machine->worker->name : "";
+  at(when, [this, c, finish, lost, name, node] {
+    auto back = [this, finish, lost](Answer a) {
+      if (lost) return;
+      at(now_ + latency(), [finish, a] { finish(a.status, a.body, false); });
+    };
+    switch (c.target) {
+      case core::Target::kState:
+        if (nodes_[static_cast<size_t>(node)].refused) return back({503, "{}"});
+        return state_.handle(now_, c.method, c.path, c.body, back);
+      case core::Target::kCloud:
+        return back(cloud_.handle(now_, c.method, c.path, c.body));
+      case core::Target::kWorker: {
+        auto it = machines_.find(name);
+        if (it == machines_.end() || it->second.worker->dead) return;
+        if (it->second.worker->hanging) {
+          return deliver_after_hang(c, name);
+        }
+        it->second.worker->advance(now_);
+        return back(it->second.worker->handle(now_, c.method, c.path, c.body));
+      }
+    }
+  });
+}
+
+// Executed when the machine continues, long after the sender gave up.
+void World::deliver_after_hang(const core::Call& c, const std::string& name) {
+  at(now_ + 0.1, [this, c, name] {
+    auto m = machines_.find(name);
+    if (m == machines_.end() || m->second.worker->dead) return;
+    if (m->second.worker->hanging) return deliver_after_hang(c, name);
+    m->second.worker->advance(now_);
+    m->second.worker->handle(now_, c.method, c.path, c.body);
+  });
+}
+
+void World::ask(int node, const std::string& method, const std::string& target,
+                const std::string& body, double timeout_s,
+                std::function<void(int, std::string, double)> f) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  auto answered = std::make_shared<bool>(false);
+  auto finish = [answered, f = std::move(f)](int status, std::string text, double retry) {
+    if (*answered) return;
+    *answered = true;
+    f(status, std::move(text), retry);
+  };
+  if (!n.core) {
+    at(now_ + 0.001, [finish] { finish(0, "", 0); });
+    return;
+  }
+  at(now_ + timeout_s, [finish] { finish(0, "", 0); });
+  const uint64_t generation = n.generation;
+  at(now_ + latency(), [this, node, generation, method, target, body, finish] {
+    Node& x = nodes_[static_cast<size_t>(node)];
+    if (x.generation != generation || !x.core) return finish(0, "", 0);
+    const uint64_t id = x.next_request++;
+    x.pending[id] = [this, finish](const core::Reply& r) {
+      at(now_ + latency(), [finish, r] { finish(r.status, r.body, r.retry_after_s); });
+    };
+    deliver(node, core::Request{id, method, target, body});
+  });
+}
+
+// ---- machines ------------------------------------------------------------------------------
+
+void World::step_machines() {
+  for (const auto& name : std::exchange(cloud_.booted, {})) {
+    const CloudMachine& m = cloud_.machines[name];
+    if (m.gone) continue;
+    const auto type = std::find_if(cloud_.types.begin(), cloud_.types.end(),
+                                   [&](const TypeSpec& t) { return t.name == m.type; });
+    Worker::Hooks hooks;
+    hooks.job = [this](const std::string& id) -> const JobTruth* {
+      auto it = jobs_.find(id);
+      return it == jobs_.end() ? nullptr : &it->second.truth;
+    };
+    hooks.started = [this](const Worker& w, const TaskKey& key, uint64_t attempt) {
+      auto& where = on_[key];
+      for (const auto& [machine, a] : where)
+        violate("ran_twice: " + key.job + "/" + std::to_string(key.index) + " attempt " +
+                std::to_string(attempt) + " starts on " + w.name + " while attempt " +
+                std::to_string(a) + " is on " + machine);
+      where[w.name] = attempt;
+      ++starts_[key.job];
+      check_places(w, key);
+    };
+    hooks.ended = [this](const Worker& w, const TaskKey& key) { on_[key].erase(w.name); };
+    hooks.completed = [this](const TaskKey& key) { return completed_.count(key) != 0; };
+    hooks.complete = [this](const TaskKey& key) {
+      completed_.insert(key);
+      UserJob& j = jobs_[key.job];
+      bool all = true;
+      for (int i = 0; i < j.truth.tasks; ++i) all = all && completed_.count({key.job, i}) != 0;
+      if (all && j.done_at < 0) j.done_at = now_;
+    };
+    hooks.saved = [this](const TaskKey& key) { return saved_.count(key) != 0 ? saved_[key] : 0.0; };
+    hooks.save = [this](const TaskKey& key, double p) { saved_[key] = std::max(saved_[key], p); };
+    Machine machine;
+    machine.worker = std::make_unique<Worker>(m, *type, options_.report_s, options_.lease_s, hooks);
+    for (const auto& n : nodes_) machine.worker->controllers.push_back(n.label);
+    machine.worker->at = static_cast<int>(rng_() % nodes_.size());
+    machines_.emplace(name, std::move(machine));
+  }
+  for (const auto& name : std::exchange(cloud_.ended, {})) {
+    auto it = machines_.find(name);
+    if (it != machines_.end()) it->second.worker->kill();
+  }
+  for (auto& [name, m] : machines_) {
+    if (m.worker->dead) continue;
+    if (m.worker->taken_at && now_ >= *m.worker->taken_at) {
+      cloud_.take(name);
+      continue;
+    }
+    m.worker->advance(now_);
+    if (m.worker->wants_to_report(now_)) send_report(m);
+  }
+  for (const auto& [id, j] : jobs_) {
+    if (j.told_cancelled < 0 || now_ < j.told_cancelled + options_.cancel_s) continue;
+    for (int i = 0; i < j.truth.tasks; ++i) {
+      auto it = on_.find({id, i});
+      if (it != on_.end() && !it->second.empty()) violate("ran_cancelled: " + id);
+    }
+  }
+}
+
+void World::check_places(const Worker& w, const TaskKey& key) {
+  const UserJob& j = jobs_[key.job];
+  if (w.spot && !j.spot) violate("wrong_place: " + key.job + " on a spot machine");
+  if (!j.zone.empty() && j.zone != w.zone) violate("wrong_place: " + key.job + " in " + w.zone);
+  if (!j.types.empty() && std::find(j.types.begin(), j.types.end(), w.type) == j.types.end())
+    violate("wrong_place: " + key.job + " on " + w.type);
+  std::map<std::string, int> zones;
+  for (int i = 0; i < j.truth.tasks; ++i) {
+    auto it = on_.find({key.job, i});
+    if (it == on_.end()) continue;
+    for (const auto& [machine, a] : it->second) ++zones[cloud_.machines[machine].zone];
+  }
+  if (j.spread)
+    for (const auto& [z, n] : zones)
+      if (n > (j.truth.tasks + 1) / 2) violate("wrong_place: " + key.job + " not spread");
+  if (j.together && zones.size() > 1) violate("wrong_place: " + key.job + " not together");
+  if (j.told_cancelled >= 0 && now_ > j.told_cancelled + options_.cancel_s)
+    violate("ran_cancelled: " + key.job + " starts");
+  std::map<std::string, double> used;
+  for (const auto& [task, where] : on_)
+    if (!where.empty()) used[jobs_[task.job].team] += jobs_[task.job].truth.cpus;
+  for (const auto& [team, cpus] : used)
+    if (teams_[team].second > 0 && cpus > teams_[team].second + 1e-6) violate("quota: " + team);
+}
+
+void World::send_report(Machine& m) {
+  Worker& w = *m.worker;
+  const std::string body = w.make_report(now_, true);
+  const double sent = now_;
+  const uint64_t session = w.session;
+  const int node = w.at;
+  const std::string name = w.name;
+  auto heard = [this, name, sent, session](int status, const std::string& text) {
+    auto it = machines_.find(name);
+    if (it != machines_.end()) it->second.worker->on_answer(now_, status, text, sent, session);
+  };
+  double until = 0;
+  bool hold = false;
+  double held_until = 0;
+  if (m.cut_until > now_) held_until = m.hold ? m.cut_until : -1;
+  if (cut_off(node, "workers", until, hold))
+    held_until = hold && held_until >= 0 ? std::max(held_until, until) : -1;
+  if (held_until != 0) {
+    at(now_ + 4, [heard] { heard(0, ""); });
+    // Held packets arrive after the cut, when the worker has long given up.
+    if (held_until > 0)
+      at(held_until + latency(), [this, node, body] {
+        ask(node, "POST", "/agent/beat", body, 4, [](int, std::string, double) {});
+      });
+    return;
+  }
+  ask(node, "POST", "/agent/beat", body, 4,
+      [this, heard, name](int status, std::string text, double) {
+        auto it = machines_.find(name);
+        if (it == machines_.end()) return;
+        if (it->second.cut_until > now_) status = 0;  // the answer is lost to the cut
+        heard(status, text);
+      });
+}
+
+// ---- users ---------------------------------------------------------------------------------
+
+int World::pick_node() {
+  std::vector<int> healthy;
+  for (int i = 0; i < options_.nodes; ++i)
+    if (nodes_[static_cast<size_t>(i)].core && nodes_[static_cast<size_t>(i)].core->ready())
+      healthy.push_back(i);
+  if (healthy.empty()) return -1;
+  return healthy[rng_() % healthy.size()];
+}
+
+void World::submit(UserJob j) {
+  const std::string id = j.truth.id;
+  j.first_try = now_;
+  jobs_[id] = std::move(j);
+  try_submit(id);
+}
+
+void World::try_submit(const std::string& id) {
+  UserJob& j = jobs_[id];
+  if (now_ - j.first_try > 60) {
+    j.gave_up = true;
+    return;
+  }
+  const int node = pick_node();
+  if (node < 0) return at(now_ + 1, [this, id] { try_submit(id); });
+  ask(node, "POST", "/api/jobs", j.body.dump(), 5,
+      [this, id](int status, std::string body, double retry) {
+        UserJob& x = jobs_[id];
+        x.status = status;
+        if (status == 400 || status == 422) {
+          if (x.accepted) violate("forgotten: " + id + " answered " + std::to_string(status));
+          x.rejected = true;
+          return;
+        }
+        if (status == 200 || status == 201) {
+          x.accepted = true;
+          hear(x, status, body, false);
+          return at(now_ + 1, [this, id] { poll(id); });
+        }
+        if (status == 503 && retry <= 0) violate("503 without Retry-After for " + id);
+        at(now_ + std::max(1.0, retry), [this, id] { try_submit(id); });
+      });
+}
+
+void World::hear(UserJob& j, int status, const std::string& body, bool is_poll) {
+  if (status == 404 && j.accepted) return violate("forgotten: " + j.truth.id);
+  if (status != 200 && status != 201) return;
+  json r = json::parse(body, nullptr, false);
+  if (!r.is_object()) return violate("malformed answer for " + j.truth.id);
+  const auto s = r.value("status", "");
+  if (is_poll && !j.accepted && !j.status) violate("invented: " + j.truth.id);
+  if (!j.told.empty() && s != j.told)
+    violate("went_back: " + j.truth.id + " was " + j.told + ", is " + s);
+  if (s == "done" && j.done_at < 0) violate("not_done: " + j.truth.id);
+  if (s == "withdrawn" && !j.cancel_asked) violate("went_back: " + j.truth.id + " not cancelled");
+  if (s == "done" || s == "withdrawn") j.told = s;
+  if (s == "withdrawn" && j.told_cancelled < 0) j.told_cancelled = now_;
+}
+
+void World::poll(const std::string& id) {
+  UserJob& j = jobs_[id];
+  const int node = static_cast<int>(rng_() % nodes_.size());
+  const bool over = !j.told.empty();
+  ask(node, "GET", "/api/jobs/" + id, "", 2,
+      [this, id](int status, std::string body, double) { hear(jobs_[id], status, body, true); });
+  at(now_ + (over ? 7 : 1), [this, id] { poll(id); });
+}
+
+void World::cancel(const std::string& id) {
+  jobs_[id].cancel_asked = true;
+  try_cancel(id);
+}
+
+void World::try_cancel(const std::string& id) {
+  const int node = pick_node();
+  if (node < 0) return at(now_ + 1, [this, id] { try_cancel(id); });
+  ask(node, "POST", "/api/jobs/" + id + "/cancel", "", 5,
+      [this, id](int status, std::string body, double retry) {
+        if (status == 200) return hear(jobs_[id], status, body, false);
+        at(now_ + std::max(1.0, retry), [this, id] { try_cancel(id); });
+      });
+}
+
+// ---- faults --------------------------------------------------------------------------------
+
+void World::crash(int node, double down_s) {
+  Node& n = nodes_[static_cast<size_t>(node)];
+  ++n.generation;
+  n.core.reset();
+  n.queue.clear();
+  n.scheduled = false;
+  auto pending = std::move(n.pending);
+  n.pending.clear();
+  core::Reply none;
+  none.status = 0;
+  for (auto& [id, f] : pending) f(none);
+  for (int k = 0; k < options_.nodes; ++k)
+    if (k != node) deliver(k, core::PeerLost{n.label});
+  at(now_ + down_s, [this, node, g = n.generation] {
+    if (nodes_[static_cast<size_t>(node)].generation == g) boot(node);
+  });
+}
+
+void World::cut(int node, const std::string& side, double for_s, bool hold) {
+  nodes_[static_cast<size_t>(node)].cuts[side] = {now_ + for_s, hold};
+}
+
+void World::refuse(int node, double for_s) {
+  nodes_[static_cast<size_t>(node)].refused = true;
+  at(now_ + for_s, [this, node] { nodes_[static_cast<size_t>(node)].refused = false; });
+}
+
+void World::state_outage(double for_s) {
+  state_.set_outage(now_, true);
+  at(now_ + for_s, [this] { state_.set_outage(now_, false); });
+}
+
+void World::cloud_outage(double for_s) {
+  cloud_.outage = true;
+  at(now_ + for_s, [this] { cloud_.outage = false; });
+}
+
+void World::machine_cut(int count, double for_s, bool hold) {
+  for (auto& [name, m] : machines_) {
+    if (count <= 0) break;
+    if (m.worker->dead || m.cut_until > now_) continue;
+    m.cut_until = now_ + for_s;
+    m.hold = hold;
+    --count;
+  }
+}
+
+void World::machine_hang(int count, double for_s) {
+  for (auto& [name, m] : machines_) {
+    if (count <= 0) break;
+    if (m.worker->dead || m.worker->hanging) continue;
+    m.worker->hanging = true;
+    at(now_ + for_s, [this, n = name] { machines_[n].worker->hanging = false; });
+    --count;
+  }
+}
+
+void World::machine_fault(int count) {
+  for (auto& [name, m] : machines_) {
+    if (count <= 0) break;
+    if (m.worker->dead || m.worker->faulty) continue;
+    m.worker->faulty = true;
+    --count;
+  }
+}
+
+void World::take_spot(double share, double notice_s) {
+  std::uniform_real_distribution<double> chance(0, 1);
+  for (auto& [name, m] : machines_) {
+    if (m.worker->dead || !m.worker->spot || chance(rng_) > share) continue;
+    if (notice_s > 0)
+      m.worker->taken_at = now_ + notice_s;
+    else
+      cloud_.take(name);
+  }
+}
+
+void World::lose_answers(double chance, double for_s) {
+  lose_chance_ = chance;
+  at(now_ + for_s, [this] { lose_chance_ = 0; });
+}
+
+void World::late_requests(double chance, double late_s, double for_s) {
+  late_chance_ = chance;
+  late_s_ = late_s;
+  at(now_ + for_s, [this] { late_chance_ = 0; });
+}
+
+// ---- looking -------------------------------------------------------------------------------
+
+int World::leader() const {
+  for (int i = 0; i < options_.nodes; ++i)
+    if (nodes_[static_cast<size_t>(i)].core && nodes_[static_cast<size_t>(i)].core->leading())
+      return i;
+  return -1;
+}
+
+UserJob* World::job(const std::string& id) {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+int World::running(const std::string& id) const {
+  int n = 0;
+  for (const auto& [key, where] : on_) n += key.job == id && !where.empty() ? 1 : 0;
+  return n;
+}
+
+int World::machines() const {
+  int n = 0;
+  for (const auto& [name, m] : machines_) n += m.worker->dead ? 0 : 1;
+  return n;
+}
+
+int World::starts_of(const std::string& id) const {
+  auto it = starts_.find(id);
+  return it == starts_.end() ? 0 : it->second;
+}
+
+bool World::all_over() const {
+  return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& j) {
+    return j.second.rejected || j.second.gave_up || !j.second.told.empty();
+  });
+}
+
+int World::count_told(const std::string& what) const {
+  return static_cast<int>(std::count_if(jobs_.begin(), jobs_.end(),
+                                        [&](const auto& j) { return j.second.told == what; }));
+}
+
+}  // namespace standins
--- /dev/null
+++ b/tests/standins/world.h
@@ -0,0 +1,145 @@
+// A simulated deployment: real cores, the stand-ins, a network that can be cut, users, and a
+// checker of the protocol's rules that looks after every step.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rooksill/core/core.h"
+#include "rooksill/settings/settings.h"
+#include "standins/cloud.h"
+#include "standins/state_service.h"
+#include "standins/worker.h"
+
+namespace standins {
+
+struct WorldOptions {
+  int nodes = 3;
+  double report_s = 1, lease_s = 8, cancel_s = 15;
+  double state_rps = 300, write_rps = 90;
+  size_t txn_ops = 32, value_bytes = 8192;
+  double cloud_rps = 5, list_lag_s = 3;
+  uint64_t seed = 1;
+  bool verbose = false;
+};
+
+struct UserJob {
+  JobTruth truth;
+  nlohmann::json body;
+  std::string team;
+  std::vector<std::string> types;
+  std::string zone;
+  bool spot = false, spread = false, together = false;
+  bool accepted = false, rejected = false, gave_up = false;
+  bool cancel_asked = false;
+  double first_try = 0, told_cancelled = -1;
+  std::string told;  // the last final state
+  int status = 0;    // of the last answer to its submission
+  double done_at = -1;
+};
+
+class World {
+ public:
+  explicit World(const WorldOptions& options);
+  ~World();
+
+  void add_type(const TypeSpec& type);
+  void add_team(const std::string& name, double cpus, double cpus_max);
+  void start();
+  void at(double t, std::function<void()> f);
+  void run_until(double t);
+
+  void submit(UserJob job);
+  void cancel(const std::string& id);
+  void crash(int node, double down_s);
+  // side: state, cloud, workers, peers, all
+  void cut(int node, const std::string& side, double for_s, bool hold);
+  void refuse(int node, double for_s);
+  void state_outage(double for_s);
+  void cloud_outage(double for_s);
+  void machine_cut(int count, double for_s, bool hold);
+  void machine_hang(int count, double for_s);
+  void machine_fault(int count);
+  void take_spot(double share, double notice_s);
+  void lose_answers(double chance, double for_s);
+  void late_requests(double chance, double late_s, double for_s);
+
+  int leader() const;
+  double now() const { return now_; }
+  UserJob* job(const std::string& id);
+  int running(const std::string& id) const;
+  int machines() const;
+  int starts_of(const std::string& id) const;
+  bool all_over() const;
+  int count_told(const std::string& what) const;
+  const std::vector<std::string>& violations() const { return violations_; }
+  void violate(const std::string& text);
+  std::mt19937_64& rng() { return rng_; }
+  const WorldOptions& options() const { return options_; }
+  std::map<std::string, UserJob>& jobs() { return jobs_; }
+  StateService& state() { return state_; }
+  Cloud& cloud() { return cloud_; }
+
+ private:
+  struct Node {
+    std::string label;
+    std::unique_ptr<rooksill::core::Core> core;
+    std::vector<rooksill::core::Command> queue;
+    uint64_t generation = 0;
+    bool scheduled = false;
+    bool refused = false;
+    std::map<std::string, std::pair<double, bool>> cuts;  // side -> until, hold
+    std::map<uint64_t, std::function<void(const rooksill::core::Reply&)>> pending;
+    uint64_t next_request = 1;
+  };
+  struct Machine {
+    std::unique_ptr<Worker> worker;
+    double cut_until = 0;
+    bool hold = false;
+  };
+
+  void boot(int node);
+  void deliver(int node, rooksill::core::Command c);
+  void process(int node, uint64_t generation);
+  void perform(int node);
+  void call(int node, const rooksill::core::Call& c);
+  void deliver_after_hang(const rooksill::core::Call& c, const std::string& name);
+  void ask(int node, const std::string& method, const std::string& target, const std::string& body,
+           double timeout_s, std::function<void(int status, std::string body, double retry)> f);
+  bool cut_off(int node, const std::string& side, double& until, bool& hold) const;
+  double latency();
+  void step_machines();
+  void send_report(Machine& m);
+  void try_submit(const std::string& id);
+  void try_cancel(const std::string& id);
+  void poll(const std::string& id);
+  void hear(UserJob& j, int status, const std::string& body, bool is_poll);
+  int pick_node();
+  void check_places(const Worker& w, const TaskKey& key);
+
+  WorldOptions options_;
+  std::mt19937_64 rng_;
+  double now_ = 0;
+  std::multimap<double, std::function<void()>> events_;
+  rooksill::Settings base_;
+  std::vector<rooksill::Settings> settings_;
+  StateService state_;
+  Cloud cloud_;
+  std::vector<Node> nodes_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, UserJob> jobs_;
+  std::map<TaskKey, std::map<std::string, uint64_t>> on_;  // machines that a task is on
+  std::set<TaskKey> completed_;
+  std::map<TaskKey, double> saved_;
+  std::map<std::string, int> starts_;
+  std::map<std::string, std::pair<double, double>> teams_;
+  std::vector<std::string> violations_;
+  double lose_chance_ = 0, late_chance_ = 0, late_s_ = 0;
+};
+
+}  // namespace standins
