--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -19,6 +19,7 @@
 constexpr double kLateBoot = 2.5;      // boot times after which a machine is not counted on
 constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
 constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
+constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr double kCallTimeout = 3;
@@ -78,7 +79,6 @@
   releasing_.clear();
   release_sent_.clear();
   drain_.clear();
-  drain_since_.clear();
   unexpected_.clear();
   writing_.clear();
   listing_busy_ = catalog_busy_ = list_seen_ = false;
@@ -378,7 +378,7 @@
       const Pool pool{name, spot};
       policy::Demand& d = demand_[pool];
       policy::SizingInput in;
-      std::vector<std::string> idle;
+      std::vector<std::pair<double, std::string>> given_back;
       for (const Machine* m : by_pool[pool]) {
         if (to_drop_.count(m->name) != 0 || releasing_.count(m->name) != 0) continue;
         auto v = views.find(m->name);
@@ -387,8 +387,8 @@
         ++in.x;
         if (v == views.end()) continue;
         in.y += v->second.load;
-        if (v->second.up && v->second.tasks == 0 && ctx_.now.wall - m->rented > kMinimumCharge)
-          idle.push_back(m->name);
+        if (v->second.up && ctx_.now.wall - m->rented > kMinimumCharge)
+          given_back.emplace_back(v->second.load, m->name);
       }
       int& ceiling = ceiling_.emplace(pool, op.ceiling).first->second;
       bool any_open = false;
@@ -423,10 +423,49 @@
         }
         for (const auto& [z, n] : wanted) rent({pool, z}, n, "planned");
       } else if (out.u < 0) {
-        for (int i = 0; i < -out.u && i < static_cast<int>(idle.size()); ++i) {
-          drain_.insert(idle[static_cast<size_t>(i)]);
-          drain_since_[idle[static_cast<size_t>(i)]] = ctx_.now.steady;
-        }
+        // Idle machines go first, then those with the least on them, which are emptied.
+        std::sort(given_back.begin(), given_back.end());
+        for (int i = 0; i < -out.u && i < static_cast<int>(given_back.size()); ++i)
+          drain_.insert(given_back[static_cast<size_t>(i)].second);
+      }
+    }
+  }
+}
+
+// Moves replicas off machines that are being emptied, one at a time, and only to where the image is
+// already: a move then costs the replica a few messages' time. Arrays' tasks are left to finish.
+void Fleet::plan_moves(const std::map<std::string, net::MachineView>& views) {
+  for (const auto& name : drain_) {
+    const Machine* from = replica_.machine(name);
+    if (from == nullptr) continue;
+    for (const auto& ref : replica_.placed_on(name)) {
+      const Job* job = replica_.job(ref.job);
+      const JobSpec& s = job->spec;
+      if (s.shape != core::Shape::kService || job->over()) continue;
+      if (job->placed != s.tasks) continue;  // another of its replicas is being placed
+      std::map<std::string, uint32_t> zones;
+      for (const auto& c : job->chunks)
+        for (const auto& t : c.tasks)
+          if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine))
+            ++zones[m->zone];
+      --zones[from->zone];
+      for (const auto& [target, v] : views) {
+        const Machine* to = replica_.machine(target);
+        if (to == nullptr || target == name || !v.up || v.draining || drain_.count(target) != 0)
+          continue;
+        if (to->spot && !s.spot) continue;
+        if (!s.zone.empty() && to->zone != s.zone) continue;
+        if (s.one_zone && to->zone != from->zone) continue;
+        if (s.spread && zones[to->zone] >= (s.tasks + 1) / 2) continue;
+        if (!s.types.empty() &&
+            std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
+          continue;
+        if (s.cpus > v.cpus_free || s.memory_gb > v.memory_free || s.gpus > v.gpus_free) continue;
+        if (std::find(v.images.begin(), v.images.end(), s.image) == v.images.end()) continue;
+        const core::TaskState* t = replica_.task(ref);
+        ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), name);
+        moves_.push_back({ref.job, ref.index, t->attempt});
+        return;
       }
     }
   }
@@ -472,6 +511,10 @@
   }
   std::map<Offer, int> wanted;
   const double pause = ctx_.settings.platform.report_s;
+  // What waits in all, by whether it may use cheap machines: a machine is chosen to hold that, not
+  // one job alone.
+  std::map<bool, double> left;
+  for (const auto& w : waiting) left[w.job->spec.spot] += w.count;
   for (const auto& w : waiting) {
     const JobSpec& s = w.job->spec;
     std::map<std::string, uint32_t> zones;
@@ -498,6 +541,26 @@
         found = &r;
         break;
       }
+      if (found == nullptr) {
+        // A machine that was to be given back is kept instead.
+        for (auto d = drain_.begin(); d != drain_.end(); ++d) {
+          const Machine* m = replica_.machine(*d);
+          auto v = views.find(*d);
+          if (m == nullptr || v == views.end() || !v->second.up || releasing_.count(*d) != 0)
+            continue;
+          auto type = replica_.types.find(m->type);
+          if (type == replica_.types.end() || (m->spot && !s.spot) || !fits_zone(m->zone) ||
+              !allowed_type(m->type) || v->second.load + share(s, type->second) > 1)
+            continue;
+          const double rest = 1 - v->second.load;
+          rooms.push_back({&type->second, m->zone, m->spot, type->second.cpus * rest,
+                           type->second.gpus * rest, type->second.memory_gb * rest});
+          found = &rooms.back();
+          ctx_.info("fleet", "machine {} is kept for waiting tasks", *d);
+          drain_.erase(d);
+          break;
+        }
+      }
       if (found == nullptr) {
         // The cheapest way to hold what still waits of this job.
         Offer best;
@@ -514,7 +577,7 @@
               if (!fits_zone(z) || !open(offer)) continue;
               const double slots = std::max(1.0, std::floor(1 / std::max(1e-6, share(s, t))));
               const double cost = (spot ? t.spot_price : t.price) /
-                                  std::min(slots, 2.0 * (w.count - i)) * (1 + 0.01 * wanted[offer]);
+                                  std::min(slots, 2.0 * left[s.spot]) * (1 + 0.01 * wanted[offer]);
               if (cost < best_cost) {
                 best_cost = cost;
                 best = offer;
@@ -529,6 +592,7 @@
                          best_type->memory_gb});
         found = &rooms.back();
       }
+      left[s.spot] -= 1;
       found->cpus -= s.cpus;
       found->gpus -= s.gpus;
       found->memory -= s.memory_gb;
@@ -562,6 +626,10 @@
     rent_for_waiting(views, waiting);
     send_hires();
   }
+  if (now >= next_move_) {
+    next_move_ = now + kMoveReports * ctx_.settings.platform.report_s;
+    plan_moves(views);
+  }
   if (now >= next_period_ && list_seen_) {
     next_period_ = now + ctx_.settings.operators.period_reports * ctx_.settings.platform.report_s;
     run_policy(views);
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -46,6 +46,7 @@
             const std::vector<Waiting>& waiting, const std::set<int>& suspect_blocks);
   void sighted(const net::Sighting& s);
   const std::set<std::string>& draining() const { return drain_; }
+  std::vector<net::Move> take_moves() { return std::exchange(moves_, {}); }
   std::map<std::string, std::string> take_addresses() { return std::exchange(addresses_, {}); }
 
  private:
@@ -71,6 +72,7 @@
   void release(const std::string& name, const std::string& reason);
   void send_releases();
   void run_policy(const std::map<std::string, net::MachineView>& views);
+  void plan_moves(const std::map<std::string, net::MachineView>& views);
   void rent_for_waiting(const std::map<std::string, net::MachineView>& views,
                         const std::vector<Waiting>& waiting);
   bool open(const Offer& offer) const;
@@ -94,15 +96,15 @@
   std::map<std::string, std::string> releasing_;  // name -> reason
   std::set<std::string> release_sent_;
   std::map<std::string, double> gone_;  // released: a lagging list may still show them
-  std::map<std::string, double> drain_since_;
   std::set<std::string> drain_;
+  std::vector<net::Move> moves_;
   std::map<std::string, std::string> addresses_;
   std::vector<ListedMachine> listing_;
   std::map<std::string, int> unexpected_;
   std::set<int> writing_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
-  double next_on_demand_ = 0;
+  double next_on_demand_ = 0, next_move_ = 0;
 };
 
 }  // namespace rooksill::cloud
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -597,6 +597,12 @@
   routed_term_ = r.term;
   for (const auto& x : r.routes) routed_.insert({x.job, x.chunk});
   drain_.insert(r.drain.begin(), r.drain.end());
+  for (const auto& m : r.moves) {
+    const TaskRef ref{m.job, m.index};
+    const TaskState* t = replica_.task(ref);
+    if (t == nullptr || t->attempt != m.attempt || workers_.count(t->machine) == 0) continue;
+    evicted_[ref] = m.attempt;
+  }
 }
 
 std::vector<net::MachineView> Holder::views() {
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -338,7 +338,8 @@
   }
   std::erase_if(routes_, [&](const auto& r) { return open.count(r.first) == 0; });
   const bool full = now >= next_full_routes_;
-  if (!full && fresh.empty()) return;
+  const auto moves = fleet_.take_moves();
+  if (!full && fresh.empty() && moves.empty()) return;
   if (full) next_full_routes_ = now + ctx_.settings.platform.report_s / 6;
   std::map<std::string, net::Routes> messages;
   for (const auto& label : ctx_.settings.platform.labels()) {
@@ -357,8 +358,14 @@
       to.insert(to.end(), routes.begin(), routes.end());
     }
   }
+  for (const auto& move : moves) {
+    const TaskState* t = replica_.task({move.job, move.index});
+    const Machine* at = t != nullptr ? replica_.machine(t->machine) : nullptr;
+    if (at != nullptr)
+      messages[replica_.leases[static_cast<size_t>(at->block)].holder].moves.push_back(move);
+  }
   for (auto& [label, m] : messages) {
-    if (!full && m.routes.empty()) continue;
+    if (!full && m.routes.empty() && m.moves.empty()) continue;
     if (label == ctx_.settings.platform.label)
       holder_.routes(m);
     else if (!label.empty())
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -46,12 +46,21 @@
   MSGPACK_DEFINE_ARRAY(job, chunk)
 };
 
+// A task to be moved off a machine that is being emptied.
+struct Move {
+  std::string job;
+  uint32_t index = 0;
+  uint64_t attempt = 0;
+  MSGPACK_DEFINE_ARRAY(job, index, attempt)
+};
+
 struct Routes {
   uint64_t term = 0;
   bool full = false;  // replaces what was routed before
   std::vector<Route> routes;
   std::vector<std::string> drain;
-  MSGPACK_DEFINE_ARRAY(term, full, routes, drain)
+  std::vector<Move> moves;
+  MSGPACK_DEFINE_ARRAY(term, full, routes, drain, moves)
 };
 
 // A worker that reported without being in any block.
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -103,6 +103,10 @@
   const JobSpec& s = job.spec;
   const uint32_t most_in_zone = (s.tasks + 1) / 2;
   auto trouble = troubles_.find(s.id);
+  double cheapest = std::numeric_limits<double>::infinity();
+  for (const auto& [name, t] : replica_.types)
+    if (t.cpus > 0) cheapest = std::min(cheapest, t.price / t.cpus);
+  if (!(cheapest > 0)) cheapest = 1;
   Room* best = nullptr;
   double best_score = std::numeric_limits<double>::infinity();
   for (auto& [name, r] : rooms) {
@@ -121,6 +125,8 @@
     if (!cached) score += 100 * (1 + s.image_gb / std::max(0.01, r.type->fetch_gb_per_s));
     if (s.spot && !r.machine->spot) score += 300;
     if (trouble != troubles_.end() && trouble->second.machines.count(name) != 0) score += 1e6;
+    const double price = r.machine->spot ? r.type->spot_price : r.type->price;
+    if (r.type->cpus > 0) score += 50 * price / r.type->cpus / cheapest;
     score += 10 * r.cpus / r.type->cpus;  // fill the fuller machine, so that others empty
     if (score < best_score) {
       best_score = score;
