--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -42,6 +42,7 @@
 }
 
 void Users::later(uint64_t request) {
+  ctx_.debug("api", "request {} is put off", request);
   ctx_.reply(request, 503, encode_error("try again"), kRetryAfter);
 }
 
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -22,6 +22,7 @@
 constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
+constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
 constexpr double kCallTimeout = 3;
 }  // namespace
 
@@ -198,6 +199,36 @@
   return it == refused_until_.end() || it->second <= ctx_.now.steady;
 }
 
+int Fleet::held(const Offer& offer) const {
+  int n = 0;
+  auto count = [&](const std::map<std::string, Machine>& machines, bool dealt) {
+    for (const auto& [name, m] : machines)
+      if ((dealt || replica_.machine(name) == nullptr) && to_drop_.count(name) == 0 &&
+          m.type == offer.pool.type && m.spot == offer.pool.spot && m.zone == offer.zone)
+        ++n;
+  };
+  count(replica_.machines, true);
+  count(to_deal_, false);
+  return n;
+}
+
+// What the cloud has is not published: a refusal shows it, and is believed for a while, longer each
+// time. Otherwise every period would ask in vain, and the calls would be missing elsewhere.
+void Fleet::refused(const Offer& offer) {
+  const double report = ctx_.settings.platform.report_s;
+  Cap& cap = caps_[offer];
+  cap.held = held(offer);
+  cap.refusals = std::min(cap.refusals + 1, kMostRefusals);
+  cap.until = ctx_.now.steady + 5 * report * cap.refusals;
+  refused_until_[offer] = ctx_.now.steady + 2 * report * cap.refusals;
+}
+
+int Fleet::most(const Offer& offer) const {
+  auto it = caps_.find(offer);
+  if (it == caps_.end() || it->second.until <= ctx_.now.steady) return kHireMost;
+  return it->second.held;
+}
+
 int Fleet::booting_hires(const Offer& offer) const {
   int n = 0;
   for (const auto& [name, h] : hires_)
@@ -234,8 +265,8 @@
           if (d.status == 200) {
             if (auto names = parse_rented(d.body)) {
               for (const auto& n : *names) deal(n, x.offer);
-              if (static_cast<int>(names->size()) < x.count)
-                refused_until_[x.offer] = ctx_.now.steady + 3 * report;
+              if (!names->empty()) caps_.erase(x.offer);
+              if (static_cast<int>(names->size()) < x.count) refused(x.offer);
               hires_.erase(it);
               return;
             }
@@ -245,7 +276,7 @@
           if (no_capacity || d.status == 400) {
             ctx_.info("fleet", "no capacity: {} {} in {}", x.offer.pool.spot ? "spot" : "ordinary",
                       x.offer.pool.type, x.offer.zone);
-            refused_until_[x.offer] = ctx_.now.steady + 3 * report;
+            refused(x.offer);
             hires_.erase(it);
             return;
           }
@@ -390,11 +421,10 @@
         if (v->second.up && ctx_.now.wall - m->rented > kMinimumCharge)
           given_back.emplace_back(v->second.load, m->name);
       }
-      int& ceiling = ceiling_.emplace(pool, op.ceiling).first->second;
-      bool any_open = false;
-      for (const auto& z : type.zones) any_open = any_open || open({pool, z});
-      // R falls to what is held while the cloud refuses, and recovers step by step.
-      ceiling = any_open ? std::min(op.ceiling, ceiling + 1) : std::max(1, in.x);
+      // R: what is configured, less where the cloud has shown that it has no more.
+      int ceiling = 0;
+      for (const auto& z : type.zones) ceiling += most({pool, z});
+      ceiling = std::min(op.ceiling, ceiling);
       in.lambda = d.lambda();
       in.mu = d.mu();
       in.ceiling = std::max(ceiling, in.x);
@@ -416,7 +446,9 @@
         for (int i = 0; i < out.u; ++i) {
           std::string best;
           for (const auto& z : type.zones)
-            if (open({pool, z}) && (best.empty() || per_zone[z] < per_zone[best])) best = z;
+            if (open({pool, z}) && per_zone[z] < most({pool, z}) &&
+                (best.empty() || per_zone[z] < per_zone[best]))
+              best = z;
           if (best.empty()) break;
           ++per_zone[best];
           ++wanted[best];
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -76,6 +76,9 @@
   void rent_for_waiting(const std::map<std::string, net::MachineView>& views,
                         const std::vector<Waiting>& waiting);
   bool open(const Offer& offer) const;
+  void refused(const Offer& offer);
+  int held(const Offer& offer) const;
+  int most(const Offer& offer) const;
   std::map<Pool, std::vector<const core::Machine*>> pools() const;
   double share(const core::JobSpec& spec, const core::MachineType& type) const;
   int booting_hires(const Offer& offer) const;
@@ -90,7 +93,12 @@
   std::map<Pool, policy::Demand> demand_;
   std::map<std::string, Hire> hires_;
   std::map<Offer, double> refused_until_, last_rental_;
-  std::map<Pool, int> ceiling_;
+  struct Cap {
+    int held = 0;  // how many there were when the cloud gave no more
+    double until = 0;
+    int refusals = 0;
+  };
+  std::map<Offer, Cap> caps_;
   std::map<std::string, core::Machine> to_deal_;  // rented or adopted, not yet in a block's key
   std::set<std::string> to_drop_;                 // released, still in a block's key
   std::map<std::string, std::string> releasing_;  // name -> reason
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -15,7 +15,8 @@
 namespace {
 constexpr int kMaxInFlight = 2;
 constexpr double kBackoff = 0.15;        // after the state refused
-constexpr double kProbeReports = 1.35;   // silence, in reports, after which a machine is asked
+constexpr double kProbeReports = 1.15;   // silence, in reports, after which a machine is asked
+constexpr int kProbes = 2;               // unanswered ones that make a machine silent
 constexpr double kCommandReports = 0.5;  // patience with a direct command, in reports
 constexpr int kSuspectJob = 3;           // machines a job must fail on to be suspected itself
 constexpr int kSuspectMachine = 3;       // failures in a row that make a machine suspect
@@ -124,6 +125,7 @@
   const double age = ctx_.now.steady - w.last_heard;
   if (age < kProbeReports * report) {
     w.probe_failed = false;
+    w.failed_probes = 0;
     return;
   }
   if (w.probing || w.address.empty() || ctx_.now.steady < w.next_probe) {
@@ -131,15 +133,15 @@
     return;
   }
   w.probing = true;
-  w.next_probe = ctx_.now.steady + report / 3;
-  ctx_.call(Target::kWorker, w.address, "GET", "/inspect", "", report / 3,
+  w.next_probe = ctx_.now.steady + report / 10;
+  ctx_.call(Target::kWorker, w.address, "GET", "/inspect", "", report / 4,
             [this, name = w.name](const CallDone& done) {
               auto it = workers_.find(name);
               if (it == workers_.end()) return;
               it->second.probing = false;
               auto r = done.status == 200 ? worker::parse_report(done.body) : std::nullopt;
               if (!r || r->machine != name) {
-                it->second.probe_failed = true;
+                it->second.probe_failed = ++it->second.failed_probes >= kProbes;
                 return;
               }
               take_report(it->second, *r);
@@ -201,6 +203,7 @@
   w.reported_token = r.token;
   w.last_heard = ctx_.now.steady;
   w.probe_failed = false;
+  w.failed_probes = 0;
   w.tasks = r.tasks;
   if (r.notice_s && !w.notice_until) {
     w.notice_until = ctx_.now.steady + *r.notice_s;
@@ -273,13 +276,14 @@
       }
       continue;
     }
+    if (t.phase == Phase::kRunning) w.running_since.emplace(t.task, ctx_.now.steady);
     if (job->over()) {
       order({Order::Op::kStop, t.task, t.attempt, 0});
     } else if (t.phase != Phase::kSaving) {
       auto e = evicted_.find(t.task);
       const bool evicted = e != evicted_.end() && e->second == t.attempt;
-      const bool save = draining && job->spec.checkpoint_s > 0 && t.phase == Phase::kRunning;
-      if (evicted || save) order({Order::Op::kStop, t.task, t.attempt, job->spec.save_s});
+      if (evicted || (draining && !ends_in_time(w, t, *job)))
+        order({Order::Op::kStop, t.task, t.attempt, job->spec.save_s});
     }
   }
   for (const auto& ref : replica_.placed_on(w.name)) {
@@ -296,6 +300,8 @@
       change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
     }
   }
+  if (w.running_since.size() > 4 * (w.tasks.size() + 16))
+    std::erase_if(w.running_since, [&](const auto& r) { return matched.count(r.first) == 0; });
   if (w.seen.size() > 4 * (w.tasks.size() + 16))
     std::erase_if(w.seen, [&](const auto& s) {
       const TaskState* t = replica_.task(s.first);
@@ -303,6 +309,18 @@
     });
 }
 
+// Whether a task on a machine that will be taken is likely to complete before. What is not starts
+// elsewhere at once, instead of when the machine has gone.
+bool Holder::ends_in_time(const Worker& w, const worker::ReportedTask& t, const Job& job) const {
+  const JobSpec& s = job.spec;
+  if (s.shape == Shape::kService) return false;
+  const double left = *w.notice_until - ctx_.now.steady - s.save_s;
+  if (t.phase != Phase::kRunning) return s.estimate_s < left;
+  auto since = w.running_since.find(t.task);
+  const double ran = since == w.running_since.end() ? 0 : ctx_.now.steady - since->second;
+  return s.estimate_s - ran < left;
+}
+
 void Holder::lost(Worker& w, const worker::ReportedTask& t) {
   ctx_.debug("holder", "task {} attempt {} ended on {}: cause {}", task_name(t.task), t.attempt,
              w.name, static_cast<int>(t.cause));
@@ -311,6 +329,7 @@
   } else if (t.cause != Cause::kStopped) {
     w.avoid_until = ctx_.now.steady + ctx_.settings.platform.report_s / 3;
   }
+  w.running_since.erase(t.task);
   change(t.task, {Change::Kind::kLost, w.name, t.attempt, w.block});
 }
 
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -29,6 +29,8 @@
   double last_heard = 0, activated = 0;
   double next_probe = 0, next_push = 0;
   bool probing = false, probe_failed = false;
+  int failed_probes = 0;
+  std::map<TaskRef, double> running_since;
   std::vector<worker::ReportedTask> tasks;
   std::set<std::pair<TaskRef, uint64_t>> seen;  // attempts that it was seen to have
   std::optional<double> notice_until;
@@ -84,6 +86,7 @@
   void take_report(Worker& w, const worker::Report& r);
   void reconcile(Worker& w, std::vector<worker::Order>* orders);
   bool trusted(const Worker& w) const;
+  bool ends_in_time(const Worker& w, const worker::ReportedTask& t, const Job& job) const;
   void lost(Worker& w, const worker::ReportedTask& t);
   void note_failure(Worker& w, const std::string& job);
   void note_images(Worker& w);
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -60,7 +60,11 @@
     if (!renewing_ && now >= next_renewal_) renew();
     return;
   }
-  if (replica_.leader.stamp != 0) {
+  // Our own former process is dead for certain: its key need not run out. Any other's must.
+  const bool former_self = replica_.leader.stamp != 0 &&
+                           replica_.leader.label == ctx_.settings.platform.label &&
+                           replica_.leader.incarnation != ctx_.incarnation;
+  if (replica_.leader.stamp != 0 && !former_self) {
     vacant_since_ = 0;
     return;
   }
@@ -83,41 +87,42 @@
       "POST", "/grants", json{{"ttl_ms", ttl_ms}}.dump(), 1, [this, ttl, asked](const CallDone& d) {
         json j = d.status == 200 ? json::parse(d.body, nullptr, false) : json();
         if (!j.is_object() || !j.contains("hold") || !j["hold"].is_number_unsigned() ||
-            replica_.leader.stamp != 0) {
+            (replica_.leader.stamp != 0 && replica_.leader.label != ctx_.settings.platform.label)) {
           electing_ = false;
           return;
         }
         const uint64_t hold = j["hold"];
         const uint64_t term = replica_.term + 1;
         json value{{"h", ctx_.settings.platform.label}, {"i", ctx_.incarnation}, {"t", term}};
-        bool sent = committer_.commit({{kLeaderKey, 0}, {kTermKey, replica_.term_stamp}},
-                                      {{kLeaderKey, value, hold}, {kTermKey, json{{"t", term}}, 0}},
-                                      [this, hold, term, asked, ttl](const state::TxnResult& r) {
-                                        electing_ = false;
-                                        if (r.outcome == Outcome::kApplied) {
-                                          leading_ = true;
-                                          heard_peer_ = false;
-                                          term_ = term;
-                                          lease_ = hold;
-                                          valid_until_ = asked + ttl * kSafety;
-                                          next_renewal_ = ctx_.now.steady + ttl / 4;
-                                          term_started_ = ctx_.now.steady;
-                                          routes_.clear();
-                                          leasing_.clear();
-                                          finishing_.clear();
-                                          gave_up_.clear();
-                                          next_full_routes_ = 0;
-                                          ctx_.info("leader", "leading in term {}", term);
-                                          fleet_.start_term(term);
-                                          return;
-                                        }
-                                        // Whatever became of it, the lease is given back, and the
-                                        // key with it.
-                                        client_.raw("DELETE", "/grants/" + std::to_string(hold), "",
-                                                    1, [](const CallDone&) {});
-                                        if (r.outcome == Outcome::kConflict)
-                                          committer_.refresh({kTermKey, kLeaderKey}, [] {});
-                                      });
+        bool sent = committer_.commit(
+            {{kLeaderKey, replica_.leader.stamp}, {kTermKey, replica_.term_stamp}},
+            {{kLeaderKey, value, hold}, {kTermKey, json{{"t", term}}, 0}},
+            [this, hold, term, asked, ttl](const state::TxnResult& r) {
+              electing_ = false;
+              if (r.outcome == Outcome::kApplied) {
+                leading_ = true;
+                heard_peer_ = false;
+                term_ = term;
+                lease_ = hold;
+                valid_until_ = asked + ttl * kSafety;
+                next_renewal_ = ctx_.now.steady + ttl / 4;
+                term_started_ = ctx_.now.steady;
+                routes_.clear();
+                leasing_.clear();
+                finishing_.clear();
+                gave_up_.clear();
+                next_full_routes_ = 0;
+                ctx_.info("leader", "leading in term {}", term);
+                fleet_.start_term(term);
+                return;
+              }
+              // Whatever became of it, the lease is given back, and the
+              // key with it.
+              client_.raw("DELETE", "/grants/" + std::to_string(hold), "", 1,
+                          [](const CallDone&) {});
+              if (r.outcome == Outcome::kConflict)
+                committer_.refresh({kTermKey, kLeaderKey}, [] {});
+            });
         if (!sent) electing_ = false;
       });
 }
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -12,11 +12,17 @@
 // Part of an ordinary machine that work which may use cheap machines leaves to work which may not.
 constexpr double kOrdinaryReserve = 0.2;
 constexpr int kMaxEvictions = 4;  // jobs made room for in one pass
+
+bool cached(const Worker& w, const std::string& image) {
+  return std::any_of(w.images.begin(), w.images.end(),
+                     [&](const auto& i) { return i.first == image; });
+}
+
 }  // namespace
 
 std::map<std::string, Holder::Room> Holder::rooms() {
   std::map<std::string, Room> out;
-  const double probe_age = 1.35 * ctx_.settings.platform.report_s;
+  const double probe_age = 1.15 * ctx_.settings.platform.report_s;
   team_use_.clear();
   auto use = [&](Room& room, const JobSpec& s) {
     room.cpus -= s.cpus;
@@ -120,9 +126,8 @@
     if (!within_limit(s, r.machine->block)) continue;
     double score = 0;
     // An image that is there already starts at once; one on its way costs its share of the wait.
-    bool cached = std::any_of(r.worker->images.begin(), r.worker->images.end(),
-                              [&](const auto& i) { return i.first == s.image; });
-    if (!cached) score += 100 * (1 + s.image_gb / std::max(0.01, r.type->fetch_gb_per_s));
+    if (!cached(*r.worker, s.image))
+      score += 100 * (1 + s.image_gb / std::max(0.01, r.type->fetch_gb_per_s));
     if (s.spot && !r.machine->spot) score += 300;
     if (trouble != troubles_.end() && trouble->second.machines.count(name) != 0) score += 1e6;
     const double price = r.machine->spot ? r.type->spot_price : r.type->price;
@@ -279,8 +284,9 @@
       ++zones[r->machine->zone];
       if (s.one_zone) only_zone = r->machine->zone;
       change(ref, {Change::Kind::kPlace, r->machine->name, t.attempt + 1, r->machine->block});
-      ctx_.debug("placer", "task {} attempt {} goes to {}", task_name(ref), t.attempt + 1,
-                 r->machine->name);
+      ctx_.debug("placer", "task {} attempt {} goes to {} after {:.2f} s{}", task_name(ref),
+                 t.attempt + 1, r->machine->name, ctx_.now.wall - job.submitted,
+                 cached(*r->worker, s.image) ? "" : ", image not there");
     }
   }
 }
--- a/src/rooksill/settings/settings.h
+++ b/src/rooksill/settings/settings.h
@@ -53,7 +53,7 @@
   double planned_cost = 1, unplanned_cost = 6, holding_cost = 1;
   int ceiling = 32;
   double demand_cap = 3;
-  double leader_ttl_reports = 1, peer_silence_reports = 0.6, machine_silence_reports = 2.2;
+  double leader_ttl_reports = 0.7, peer_silence_reports = 0.6, machine_silence_reports = 1.5;
 };
 
 struct Settings {
