--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -20,6 +20,7 @@
 constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
 constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
 constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
+constexpr int kTasksMoved = 3;         // tasks of arrays moved at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
@@ -464,41 +465,53 @@
   }
 }
 
-// Moves replicas off machines that are being emptied, one at a time, and only to where the image is
-// already: a move then costs the replica a few messages' time. Arrays' tasks are left to finish.
+// Where a task of a machine that is being emptied could go at once: its image is there already, so
+// that a move costs a few messages' time.
+bool Fleet::can_move(const Job& job, const Machine& from,
+                     const std::map<std::string, net::MachineView>& views) const {
+  const JobSpec& s = job.spec;
+  std::map<std::string, uint32_t> zones;
+  if (s.spread)
+    for (const auto& c : job.chunks)
+      for (const auto& t : c.tasks)
+        if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine))
+          ++zones[m->zone];
+  if (s.spread) --zones[from.zone];
+  for (const auto& [target, v] : views) {
+    const Machine* to = replica_.machine(target);
+    if (to == nullptr || target == from.name || !v.up || v.draining || drain_.count(target) != 0)
+      continue;
+    if (to->spot && !s.spot) continue;
+    if (!s.zone.empty() && to->zone != s.zone) continue;
+    if (s.one_zone && to->zone != from.zone) continue;
+    if (s.spread && zones[to->zone] >= (s.tasks + 1) / 2) continue;
+    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
+      continue;
+    if (s.cpus > v.cpus_free || s.memory_gb > v.memory_free || s.gpus > v.gpus_free) continue;
+    if (std::find(v.images.begin(), v.images.end(), s.image) != v.images.end()) return true;
+  }
+  return false;
+}
+
+// Moves replicas one at a time, so that hardly anybody notices; tasks that save their progress a
+// few at a time. Tasks that would lose their work are left to finish.
 void Fleet::plan_moves(const std::map<std::string, net::MachineView>& views) {
+  int replicas = 0, tasks = 0;
   for (const auto& name : drain_) {
     const Machine* from = replica_.machine(name);
     if (from == nullptr) continue;
     for (const auto& ref : replica_.placed_on(name)) {
       const Job* job = replica_.job(ref.job);
       const JobSpec& s = job->spec;
-      if (s.shape != core::Shape::kService || job->over()) continue;
-      if (job->placed != s.tasks) continue;  // another of its replicas is being placed
-      std::map<std::string, uint32_t> zones;
-      for (const auto& c : job->chunks)
-        for (const auto& t : c.tasks)
-          if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine))
-            ++zones[m->zone];
-      --zones[from->zone];
-      for (const auto& [target, v] : views) {
-        const Machine* to = replica_.machine(target);
-        if (to == nullptr || target == name || !v.up || v.draining || drain_.count(target) != 0)
-          continue;
-        if (to->spot && !s.spot) continue;
-        if (!s.zone.empty() && to->zone != s.zone) continue;
-        if (s.one_zone && to->zone != from->zone) continue;
-        if (s.spread && zones[to->zone] >= (s.tasks + 1) / 2) continue;
-        if (!s.types.empty() &&
-            std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
-          continue;
-        if (s.cpus > v.cpus_free || s.memory_gb > v.memory_free || s.gpus > v.gpus_free) continue;
-        if (std::find(v.images.begin(), v.images.end(), s.image) == v.images.end()) continue;
-        const core::TaskState* t = replica_.task(ref);
-        ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), name);
-        moves_.push_back({ref.job, ref.index, t->attempt});
-        return;
-      }
+      if (job->over()) continue;
+      const bool service = s.shape == core::Shape::kService;
+      if (service ? replicas >= 1 || job->placed != s.tasks
+                  : tasks >= kTasksMoved || s.checkpoint_s <= 0)
+        continue;
+      if (!can_move(*job, *from, views)) continue;
+      ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), name);
+      moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt});
+      ++(service ? replicas : tasks);
     }
   }
 }
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -72,6 +72,8 @@
   void release(const std::string& name, const std::string& reason);
   void send_releases();
   void run_policy(const std::map<std::string, net::MachineView>& views);
+  bool can_move(const core::Job& job, const core::Machine& from,
+                const std::map<std::string, net::MachineView>& views) const;
   void plan_moves(const std::map<std::string, net::MachineView>& views);
   void rent_for_waiting(const std::map<std::string, net::MachineView>& views,
                         const std::vector<Waiting>& waiting);
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -117,7 +117,8 @@
   bool within_limit(const JobSpec& s, int block);
   void preempt(const Job& job, std::map<std::string, Room>& rooms,
                const std::map<std::string, uint32_t>& zones, const std::string& only_zone);
-  double reserve(const Room& r) const;
+  double reserve(const JobSpec& s, const Room& r) const;
+  double due_time(const Job& job) const;
 
   Context& ctx_;
   Replica& replica_;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -1,5 +1,6 @@
 // Placement inside the blocks that this controller holds.
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "rooksill/core/codec.h"
@@ -10,8 +11,9 @@
 
 namespace {
 // Part of an ordinary machine that work which may use cheap machines leaves to work which may not.
-constexpr double kOrdinaryReserve = 0.2;
-constexpr int kMaxEvictions = 4;  // jobs made room for in one pass
+constexpr double kOrdinaryReserve = 0.1;
+constexpr double kHopeless = 1e6;  // s by which a job that can meet no limit stands back
+constexpr int kMaxEvictions = 4;   // jobs made room for in one pass
 
 bool cached(const Worker& w, const std::string& image) {
   return std::any_of(w.images.begin(), w.images.end(),
@@ -84,8 +86,14 @@
   return s.cpus <= r.cpus + kSlack && s.gpus <= r.gpus + kSlack && s.memory_gb <= r.memory + kSlack;
 }
 
-double Holder::reserve(const Room& r) const {
-  return r.machine->spot ? 0 : kOrdinaryReserve * r.type->cpus;
+double Holder::reserve(const JobSpec& s, const Room& r) const {
+  if (r.machine->spot) return 0;
+  // Work that saves and is gone before anybody's start is late need not leave room free.
+  double soonest = std::numeric_limits<double>::infinity();
+  for (const auto& o : ctx_.settings.platform.objectives)
+    if (o.kind == "wait") soonest = std::min(soonest, o.within_s);
+  if (s.priority < Priority::kUrgent && s.checkpoint_s > 0 && s.save_s < 0.75 * soonest) return 0;
+  return kOrdinaryReserve * r.type->cpus;
 }
 
 bool Holder::within_limit(const JobSpec& s, int block) {
@@ -122,7 +130,7 @@
       auto z = zones.find(r.machine->zone);
       if (z != zones.end() && z->second >= most_in_zone) continue;
     }
-    if (s.spot && r.cpus - s.cpus < reserve(r)) continue;
+    if (s.spot && r.cpus - s.cpus < reserve(s, r)) continue;
     if (!within_limit(s, r.machine->block)) continue;
     double score = 0;
     // An image that is there already starts at once; one on its way costs its share of the wait.
@@ -192,6 +200,28 @@
   }
 }
 
+// When a job should be done: the first of its class's limits that it can still meet. What can meet
+// none comes after everything that can.
+double Holder::due_time(const Job& job) const {
+  const JobSpec& s = job.spec;
+  const double now = ctx_.now.wall;
+  double due = std::numeric_limits<double>::infinity(), last = 0;
+  for (const auto& o : ctx_.settings.platform.objectives) {
+    if (o.job_class != s.job_class) continue;
+    double at = 0;
+    if (o.kind == "deadline" && s.deadline_s)
+      at = job.submitted + *s.deadline_s * o.times;
+    else if (o.kind == "finished")
+      at = job.submitted + o.within_s;
+    else
+      continue;
+    last = std::max(last, at);
+    if (at - s.estimate_s >= now) due = std::min(due, at);
+  }
+  if (last == 0) return job.submitted + s.deadline_s.value_or(4 * s.estimate_s);
+  return std::isinf(due) ? last + kHopeless : due;
+}
+
 void Holder::place() {
   if (held_.empty() || routed_.empty()) return;
   struct Candidate {
@@ -209,10 +239,7 @@
     if (job != nullptr) {
       const Chunk& c = job->chunks[it->second];
       if (c.done + c.placed < c.tasks.size() && !backing_off(it->first)) {
-        const JobSpec& s = job->spec;
-        // Without a deadline of its own a job is due when it should be done if started at once.
-        const double due = job->submitted + s.deadline_s.value_or(4 * s.estimate_s);
-        waiting.push_back({job, it->second, due});
+        waiting.push_back({job, it->second, due_time(*job)});
       }
     }
     ++it;
