--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -115,8 +115,9 @@
   Room* choose(const Job& job, std::map<std::string, Room>& rooms,
                const std::map<std::string, uint32_t>& zones, const std::string& only_zone);
   bool within_limit(const JobSpec& s, int block);
-  void preempt(const Job& job, std::map<std::string, Room>& rooms,
-               const std::map<std::string, uint32_t>& zones, const std::string& only_zone);
+  bool preempt(const Job& job, std::map<std::string, Room>& rooms,
+               const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
+               bool only_cached);
   double reserve(const JobSpec& s, const Room& r) const;
   double due_time(const Job& job) const;
 
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -150,8 +150,9 @@
 }
 
 // Makes room for work of higher priority by stopping work of lower priority on one machine.
-void Holder::preempt(const Job& job, std::map<std::string, Room>& rooms,
-                     const std::map<std::string, uint32_t>& zones, const std::string& only_zone) {
+bool Holder::preempt(const Job& job, std::map<std::string, Room>& rooms,
+                     const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
+                     bool only_cached) {
   const JobSpec& s = job.spec;
   const uint32_t most_in_zone = (s.tasks + 1) / 2;
   std::vector<TaskRef> best;
@@ -163,6 +164,7 @@
       if (z != zones.end() && z->second >= most_in_zone) continue;
     }
     if (!within_limit(s, r.machine->block)) continue;
+    if (only_cached && !cached(*r.worker, s.image)) continue;
     Room after = r;
     std::vector<std::pair<Priority, TaskRef>> lower;
     for (const auto& ref : replica_.placed_on(name)) {
@@ -175,7 +177,7 @@
         lower.emplace_back(other.priority, ref);
       }
     }
-    if (fits(s, after)) return;  // enough is being stopped
+    if (fits(s, after)) return true;  // enough is being stopped
     std::sort(lower.begin(), lower.end());
     std::vector<TaskRef> victims;
     double cost = 0;
@@ -198,6 +200,7 @@
               s.id);
     evicted_[ref] = t->attempt;
   }
+  return !best.empty();
 }
 
 // When a job should be done: the first of its class's limits that it can still meet. What can meet
@@ -296,11 +299,18 @@
       Room* r = choose(job, room, zones, only_zone);
       if (r == nullptr) {
         if (s.priority > Priority::kIdle && evictions < kMaxEvictions) {
-          preempt(job, room, zones, only_zone);
+          preempt(job, room, zones, only_zone, false);
           ++evictions;
         }
         break;
       }
+      // A replica that would wait for its image starts sooner where lower work makes room for it.
+      if (s.shape == Shape::kService && s.priority == Priority::kProd &&
+          !cached(*r->worker, s.image) && evictions < kMaxEvictions &&
+          preempt(job, room, zones, only_zone, true)) {
+        ++evictions;
+        break;
+      }
       r->cpus -= s.cpus;
       r->gpus -= s.gpus;
       r->memory -= s.memory_gb;
