--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -20,6 +20,8 @@
 constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
 constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
 constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
+constexpr double kFloorTasks = 2;      // replicas' worth of room that a zone keeps
+constexpr double kFloorShare = 0.05;   // and of what replicas use there
 constexpr int kTasksMoved = 3;         // tasks of arrays moved at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
@@ -397,6 +399,81 @@
 
 // ---- policy --------------------------------------------------------------------------------
 
+// Free cores on ordinary machines of a zone, up or about to be.
+double Fleet::zone_room(const std::string& zone, const std::string& without,
+                        const std::map<std::string, net::MachineView>& views) const {
+  double room = 0;
+  for (const auto& [name, m] : replica_.machines) {
+    if (m.spot || m.zone != zone || name == without || drain_.count(name) != 0 ||
+        to_drop_.count(name) != 0 || releasing_.count(name) != 0)
+      continue;
+    auto v = views.find(name);
+    auto type = replica_.types.find(m.type);
+    if (v == views.end() || type == replica_.types.end() || v->second.silent || v->second.bad)
+      continue;
+    room += v->second.up ? v->second.cpus_free : type->second.cpus;
+  }
+  for (const auto& [name, h] : hires_) {
+    auto type = replica_.types.find(h.offer.pool.type);
+    if (!h.offer.pool.spot && h.offer.zone == zone && type != replica_.types.end())
+      room += h.count * type->second.cpus;
+  }
+  return room;
+}
+
+// What a zone keeps free for replicas that may have to go there: the rule sizes a type as a whole,
+// while a spread job needs room in a second zone, and a lost replica needs it at once.
+double Fleet::zone_floor(const std::string& zone) const {
+  double largest = 0, placed = 0;
+  for (const auto& id : replica_.open_jobs) {
+    const Job& job = *replica_.job(id);
+    if (job.spec.shape != core::Shape::kService || job.spec.spot) continue;
+    for (const auto& c : job.chunks)
+      for (const auto& t : c.tasks) {
+        const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine);
+        if (m == nullptr || m->zone != zone) continue;
+        largest = std::max(largest, job.spec.cpus);
+        placed += job.spec.cpus;
+      }
+  }
+  return std::max(kFloorTasks * largest, kFloorShare * placed);
+}
+
+bool Fleet::zone_can_spare(const std::string& name,
+                           const std::map<std::string, net::MachineView>& views) const {
+  const Machine* m = replica_.machine(name);
+  auto v = views.find(name);
+  auto type = m != nullptr ? replica_.types.find(m->type) : replica_.types.end();
+  if (v == views.end() || type == replica_.types.end()) return false;
+  const double moved = v->second.load * type->second.cpus;
+  return zone_room(m->zone, name, views) - moved >= zone_floor(m->zone);
+}
+
+void Fleet::keep_zone_floors(const std::map<std::string, net::MachineView>& views) {
+  std::set<std::string> zones;
+  for (const auto& [name, t] : replica_.types) zones.insert(t.zones.begin(), t.zones.end());
+  for (const auto& zone : zones) {
+    const double floor = zone_floor(zone);
+    if (floor <= 0 || zone_room(zone, "", views) >= floor) continue;
+    // A machine that was to be given back is kept first.
+    auto kept = std::find_if(drain_.begin(), drain_.end(), [&](const std::string& name) {
+      const Machine* m = replica_.machine(name);
+      return m != nullptr && !m->spot && m->zone == zone && releasing_.count(name) == 0;
+    });
+    if (kept != drain_.end()) {
+      ctx_.info("fleet", "machine {} is kept: little room in {}", *kept, zone);
+      drain_.erase(kept);
+      continue;
+    }
+    const MachineType* best = nullptr;
+    for (const auto& [name, t] : replica_.types)
+      if (std::find(t.zones.begin(), t.zones.end(), zone) != t.zones.end() &&
+          open({{name, false}, zone}) && (best == nullptr || t.price < best->price))
+        best = &t;
+    if (best != nullptr) rent({{best->name, false}, zone}, 1, "little room in the zone");
+  }
+}
+
 void Fleet::run_policy(const std::map<std::string, net::MachineView>& views) {
   const auto& op = ctx_.settings.operators;
   const auto& p = ctx_.settings.platform;
@@ -420,7 +497,8 @@
         if (v == views.end()) continue;
         in.y += v->second.load;
         if (v->second.up && ctx_.now.wall - m->rented > kMinimumCharge)
-          given_back.emplace_back(v->second.load, m->name);
+          given_back.emplace_back(
+              v->second.load * (1 + 0.25 * static_cast<double>(v->second.images.size())), m->name);
       }
       // R: what is configured, less where the cloud has shown that it has no more.
       int ceiling = 0;
@@ -457,9 +535,15 @@
         for (const auto& [z, n] : wanted) rent({pool, z}, n, "planned");
       } else if (out.u < 0) {
         // Idle machines go first, then those with the least on them, which are emptied.
+        // One that holds many images is worth more: what starts there starts at once.
         std::sort(given_back.begin(), given_back.end());
-        for (int i = 0; i < -out.u && i < static_cast<int>(given_back.size()); ++i)
-          drain_.insert(given_back[static_cast<size_t>(i)].second);
+        int left = -out.u;
+        for (const auto& [worth, machine] : given_back) {
+          if (left == 0) break;
+          if (!spot && !zone_can_spare(machine, views)) continue;
+          drain_.insert(machine);
+          --left;
+        }
       }
     }
   }
@@ -678,6 +762,7 @@
   if (now >= next_period_ && list_seen_) {
     next_period_ = now + ctx_.settings.operators.period_reports * ctx_.settings.platform.report_s;
     run_policy(views);
+    keep_zone_floors(views);
     send_hires();
   }
   write_machines();
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -72,6 +72,12 @@
   void release(const std::string& name, const std::string& reason);
   void send_releases();
   void run_policy(const std::map<std::string, net::MachineView>& views);
+  double zone_room(const std::string& zone, const std::string& without,
+                   const std::map<std::string, net::MachineView>& views) const;
+  double zone_floor(const std::string& zone) const;
+  bool zone_can_spare(const std::string& name,
+                      const std::map<std::string, net::MachineView>& views) const;
+  void keep_zone_floors(const std::map<std::string, net::MachineView>& views);
   bool can_move(const core::Job& job, const core::Machine& from,
                 const std::map<std::string, net::MachineView>& views) const;
   void plan_moves(const std::map<std::string, net::MachineView>& views);
