--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -95,7 +95,6 @@
   if (suspects && !suspects_itself_)
     ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
   suspects_itself_ = suspects;
-  sweep_gone();
   if (ctx_.now.steady > 0 && evicted_.size() > 0) {
     for (auto it = evicted_.begin(); it != evicted_.end();) {
       const TaskState* t = replica_.task(it->first);
@@ -105,21 +104,6 @@
   }
 }
 
-// A machine that is in no block any more is gone for certain, and its tasks with it. The leader
-// alone writes that: its key guards it, since another node's list of machines may be old.
-void Holder::sweep_gone() {
-  const auto& p = ctx_.settings.platform;
-  if (replica_.leader.label != p.label || replica_.leader.incarnation != ctx_.incarnation) return;
-  if (replica_.synced_epoch < replica_.leader.stamp) return;
-  for (const auto& name : replica_.placed_machines()) {
-    if (!replica_.machine_gone(name)) continue;
-    for (const auto& ref : replica_.placed_on(name)) {
-      const TaskState* t = replica_.task(ref);
-      if (!changing(ref)) change(ref, {Change::Kind::kLost, name, t->attempt, -1});
-    }
-  }
-}
-
 void Holder::probe(Worker& w) {
   const double report = ctx_.settings.platform.report_s;
   const double age = ctx_.now.steady - w.last_heard;
@@ -376,9 +360,9 @@
 
 bool Holder::apply_change(const Job& job, const TaskRef& ref, TaskState& s, const Change& c) const {
   (void)ref;
-  if (c.block >= 0 && !holds(c.block)) return false;
+  if (!holds(c.block)) return false;
   if (c.kind == Change::Kind::kPlace) {
-    if (job.over() || s.done || !s.machine.empty() || s.attempt + 1 != c.attempt) return false;
+    if (job.over() || !replica_.waits(s) || s.attempt + 1 != c.attempt) return false;
     if (replica_.machine_gone(c.machine)) return false;
     s.machine = c.machine;
     s.attempt = c.attempt;
@@ -443,11 +427,13 @@
           continue;
         }
         places = places || c->second.kind == Change::Kind::kPlace;
-        if (c->second.block >= 0)
-          extra[lease_key(c->second.block)] =
-              replica_.leases[static_cast<size_t>(c->second.block)].stamp;
-        else
-          extra[kLeaderKey] = replica_.leader.stamp;
+        extra[lease_key(c->second.block)] =
+            replica_.leases[static_cast<size_t>(c->second.block)].stamp;
+        // Taken from a machine that is in no block any more, and so gone for certain. The lists
+        // of machines guard that: with an older list, a machine just dealt would look gone.
+        if (c->second.kind == Change::Kind::kPlace && !chunk.tasks[c->first].machine.empty())
+          for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b)
+            extra[machines_key(b)] = replica_.machine_stamps[static_cast<size_t>(b)];
         ++c;
       }
       if (work.waiting.empty()) continue;
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -70,7 +70,7 @@
     enum class Kind { kPlace, kLost, kDone } kind = Kind::kPlace;
     std::string machine;
     uint64_t attempt = 0;
-    int block = -1;  // whose lease guards it; -1: the leader's key does
+    int block = 0;  // whose lease guards it
   };
   struct ChunkWork {
     std::map<uint32_t, Change> waiting, sent;
@@ -97,7 +97,6 @@
   void settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
               std::vector<std::string> keys);
   void drop_sent(const std::vector<ChunkId>& chunks);
-  void sweep_gone();
   void probe(Worker& w);
   void send(Worker& w, std::vector<worker::Order> orders, bool even_if_empty);
 
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -117,16 +117,21 @@
       std::map<std::string, Machine> fresh;
       if (!decode_machines(value, b, fresh)) return false;
       machine_stamps[static_cast<size_t>(b)] = stamp;
+      std::vector<std::string> changed;
       for (auto it = machines.begin(); it != machines.end();) {
         if (it->second.block == b && fresh.count(it->first) == 0) {
-          touched_machines.insert(it->first);
+          changed.push_back(it->first);
           it = machines.erase(it);
         } else {
           ++it;
         }
       }
       for (auto& [n, m] : fresh)
-        if (machines.emplace(n, m).second) touched_machines.insert(n);
+        if (machines.emplace(n, m).second) changed.push_back(n);
+      for (const auto& n : changed) {
+        touched_machines.insert(n);
+        recount(n);
+      }
       return true;
     }
     case 'c': {
@@ -165,20 +170,33 @@
     }
     if (is.done && !was.done) events.push_back({TaskEvent::Kind::kDone, ref.job, was.machine});
   }
+  c.tasks = std::move(tasks);
+  c.stamp = stamp;
+  count(j, c);
+  touched_jobs.insert(j.spec.id);
+}
+
+void Replica::count(Job& j, Chunk& c) {
   j.done -= c.done;
   j.placed -= c.placed;
   c.done = c.placed = 0;
-  for (const auto& t : tasks) {
+  for (const auto& t : c.tasks) {
     if (t.done)
       ++c.done;
-    else if (!t.machine.empty())
+    else if (!waits(t))
       ++c.placed;
   }
   j.done += c.done;
   j.placed += c.placed;
-  c.tasks = std::move(tasks);
-  c.stamp = stamp;
-  touched_jobs.insert(j.spec.id);
+}
+
+// A machine came or went: its tasks are placed, or wait again.
+void Replica::recount(const std::string& machine) {
+  for (const auto& ref : placed_on(machine)) {
+    Job& j = jobs.at(ref.job);
+    count(j, j.chunks[ref.index / kChunkTasks]);
+    touched_jobs.insert(ref.job);
+  }
 }
 
 void Replica::remove(const std::string& key, uint64_t stamp) {
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -31,10 +31,9 @@
   const Machine* machine(const std::string& name) const;
   const TaskState* task(const TaskRef& t) const;
   const std::set<TaskRef>& placed_on(const std::string& machine) const;
-  std::vector<std::string> placed_machines() const {
-    std::vector<std::string> out;
-    for (const auto& [name, tasks] : placed_on_) out.push_back(name);
-    return out;
+  // On no machine, or on one that is gone for certain.
+  bool waits(const TaskState& t) const {
+    return !t.done && (t.machine.empty() || machine_gone(t.machine));
   }
   uint32_t unplaced(const Job& job) const { return job.spec.tasks - job.done - job.placed; }
   bool machine_gone(const std::string& name) const { return machines.count(name) == 0; }
@@ -55,6 +54,8 @@
   std::set<std::string> touched_machines, touched_jobs;
 
  private:
+  void count(Job& job, Chunk& chunk);
+  void recount(const std::string& machine);
   void apply_chunk(Job& job, uint32_t index, std::vector<TaskState> tasks, uint64_t stamp);
 
   std::unordered_map<std::string, std::set<TaskRef>> placed_on_;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -13,7 +13,7 @@
 // Part of an ordinary machine that work which may use cheap machines leaves to work which may not.
 constexpr double kOrdinaryReserve = 0.1;
 constexpr double kHopeless = 1e6;  // s by which a job that can meet no limit stands back
-constexpr int kMaxEvictions = 4;   // jobs made room for in one pass
+constexpr int kMaxEvictions = 32;  // jobs made room for in one pass
 
 bool cached(const Worker& w, const std::string& image) {
   return std::any_of(w.images.begin(), w.images.end(),
@@ -295,7 +295,7 @@
     for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
       const TaskState& t = chunk.tasks[i];
       const TaskRef ref{s.id, c.chunk * kChunkTasks + i};
-      if (t.done || !t.machine.empty() || changing(ref)) continue;
+      if (!replica_.waits(t) || changing(ref)) continue;
       Room* r = choose(job, room, zones, only_zone);
       if (r == nullptr) {
         if (s.priority > Priority::kIdle && evictions < kMaxEvictions) {
