--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -16,13 +16,15 @@
 using state::Outcome;
 
 namespace {
-constexpr double kLateBoot = 2.5;      // boot times after which a machine is not counted on
-constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
-constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
-constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
-constexpr double kFloorTasks = 2;      // replicas' worth of room that a zone keeps
-constexpr double kFloorShare = 0.05;   // and of what replicas use there
-constexpr int kTasksMoved = 3;         // tasks of arrays moved at a time
+constexpr double kLateBoot = 2.5;         // boot times after which a machine is not counted on
+constexpr double kFailedBoot = 4.0;       // boot times after which it is returned
+constexpr double kMinimumCharge = 60;     // the protocol: a machine that is deleted costs 60 s
+constexpr double kMoveReports = 0.4;      // pause between two moves of replicas, in reports
+constexpr double kFloorTasks = 2;         // replicas' worth of room that a zone keeps
+constexpr double kFloorMachines = 1;      // and of what the fullest machine there has
+constexpr double kWarmingReports = 1.5;   // longest fetch that a replica is moved for, in reports
+constexpr double kWarmingShare = 0.0006;  // of the replicas' time that bringing images may cost
+constexpr int kTasksMoved = 3;            // tasks of arrays moved at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
@@ -399,7 +401,8 @@
 
 // ---- policy --------------------------------------------------------------------------------
 
-// Free cores on ordinary machines of a zone, up or about to be.
+// Cores on ordinary machines of a zone, up or about to be, that no replica uses. Lower work there
+// makes room for replicas.
 double Fleet::zone_room(const std::string& zone, const std::string& without,
                         const std::map<std::string, net::MachineView>& views) const {
   double room = 0;
@@ -411,7 +414,7 @@
     auto type = replica_.types.find(m.type);
     if (v == views.end() || type == replica_.types.end() || v->second.silent || v->second.bad)
       continue;
-    room += v->second.up ? v->second.cpus_free : type->second.cpus;
+    room += type->second.cpus - replica_cpus(name);
   }
   for (const auto& [name, h] : hires_) {
     auto type = replica_.types.find(h.offer.pool.type);
@@ -421,22 +424,28 @@
   return room;
 }
 
-// What a zone keeps free for replicas that may have to go there: the rule sizes a type as a whole,
-// while a spread job needs room in a second zone, and a lost replica needs it at once.
+double Fleet::replica_cpus(const std::string& machine) const {
+  double used = 0;
+  for (const auto& ref : replica_.placed_on(machine)) {
+    const JobSpec& s = replica_.job(ref.job)->spec;
+    if (s.shape == core::Shape::kService) used += s.cpus;
+  }
+  return used;
+}
+
+// What a zone keeps for replicas: the rule sizes a type as a whole, while a spread job needs room
+// in a second zone, and the replicas of a lost machine need it at once.
 double Fleet::zone_floor(const std::string& zone) const {
-  double largest = 0, placed = 0;
-  for (const auto& id : replica_.open_jobs) {
-    const Job& job = *replica_.job(id);
-    if (job.spec.shape != core::Shape::kService || job.spec.spot) continue;
-    for (const auto& c : job.chunks)
-      for (const auto& t : c.tasks) {
-        const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine);
-        if (m == nullptr || m->zone != zone) continue;
-        largest = std::max(largest, job.spec.cpus);
-        placed += job.spec.cpus;
-      }
+  double largest = 0, most = 0;
+  for (const auto& [name, m] : replica_.machines) {
+    if (m.spot || m.zone != zone) continue;
+    most = std::max(most, replica_cpus(name));
+    for (const auto& ref : replica_.placed_on(name)) {
+      const JobSpec& s = replica_.job(ref.job)->spec;
+      if (s.shape == core::Shape::kService) largest = std::max(largest, s.cpus);
+    }
   }
-  return std::max(kFloorTasks * largest, kFloorShare * placed);
+  return std::max(kFloorTasks * largest, kFloorMachines * most);
 }
 
 bool Fleet::zone_can_spare(const std::string& name,
@@ -445,7 +454,7 @@
   auto v = views.find(name);
   auto type = m != nullptr ? replica_.types.find(m->type) : replica_.types.end();
   if (v == views.end() || type == replica_.types.end()) return false;
-  const double moved = v->second.load * type->second.cpus;
+  const double moved = replica_cpus(name);
   return zone_room(m->zone, name, views) - moved >= zone_floor(m->zone);
 }
 
@@ -577,6 +586,65 @@
   return false;
 }
 
+// A replica starts at once only where its image is, and a new machine has none. So one replica now
+// and then is moved to a machine that has room but lacks its image. The pause keeps what that costs
+// below kWarmingShare of the replicas' time.
+void Fleet::plan_warming(const std::map<std::string, net::MachineView>& views) {
+  if (ctx_.now.steady < next_warming_) return;
+  int replicas = 0;
+  for (const auto& id : replica_.open_jobs) {
+    const Job& job = *replica_.job(id);
+    if (job.spec.shape == core::Shape::kService) replicas += static_cast<int>(job.placed);
+  }
+  const Job* best = nullptr;
+  core::TaskRef best_task;
+  std::string best_target;
+  double best_fetch = 0, best_cost = std::numeric_limits<double>::infinity();
+  for (const auto& [target, v] : views) {
+    const Machine* to = replica_.machine(target);
+    auto type = to != nullptr ? replica_.types.find(to->type) : replica_.types.end();
+    if (type == replica_.types.end() || to->spot || !v.up || v.draining || v.silent || v.bad ||
+        drain_.count(target) != 0)
+      continue;
+    const std::set<std::string> there(v.images.begin(), v.images.end());
+    for (const auto& id : replica_.open_jobs) {
+      const Job& job = *replica_.job(id);
+      const JobSpec& s = job.spec;
+      if (s.shape != core::Shape::kService || s.priority != core::Priority::kProd) continue;
+      if (job.placed != s.tasks || s.one_zone || there.count(s.image) != 0) continue;
+      if (s.cpus > v.cpus_free || s.memory_gb > v.memory_free || s.gpus > v.gpus_free) continue;
+      if (!s.zone.empty() && s.zone != to->zone) continue;
+      if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
+        continue;
+      const double fetch = s.image_gb / std::max(0.01, type->second.fetch_gb_per_s);
+      if (fetch > kWarmingReports * ctx_.settings.platform.report_s) continue;
+      for (uint32_t i = 0; i < s.tasks; ++i) {
+        const core::TaskRef ref{id, i};
+        const Machine* from = replica_.machine(replica_.task(ref)->machine);
+        // Within a zone only: a spread job stays as spread as it is.
+        if (from == nullptr || from->zone != to->zone) continue;
+        auto fv = views.find(from->name);
+        if (fv == views.end() || !fv->second.up || fv->second.silent) continue;
+        // Nobody's replica is moved for this twice before everybody's has been once.
+        const double cost = fetch * static_cast<double>(replica_.task(ref)->attempt);
+        if (cost >= best_cost) continue;
+        best = &job;
+        best_task = ref;
+        best_target = target;
+        best_fetch = fetch;
+        best_cost = cost;
+      }
+    }
+  }
+  next_warming_ = ctx_.now.steady + ctx_.settings.platform.report_s;
+  if (best == nullptr || replicas == 0) return;
+  next_warming_ = ctx_.now.steady + best_fetch / (kWarmingShare * replicas);
+  ctx_.info("fleet", "task {} is moved to {} for its image, {:.1f} s", core::task_name(best_task),
+            best_target, best_fetch);
+  moves_.push_back(
+      {best_task.job, best_task.index, replica_.task(best_task)->attempt, best_target});
+}
+
 // Moves replicas one at a time, so that hardly anybody notices; tasks that save their progress a
 // few at a time. Tasks that would lose their work are left to finish.
 void Fleet::plan_moves(const std::map<std::string, net::MachineView>& views) {
@@ -594,7 +662,7 @@
         continue;
       if (!can_move(*job, *from, views)) continue;
       ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), name);
-      moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt});
+      moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt, ""});
       ++(service ? replicas : tasks);
     }
   }
@@ -692,7 +760,7 @@
       }
       if (found == nullptr) {
         // The cheapest way to hold what still waits of this job.
-        Offer best;
+        Offer best{};
         const MachineType* best_type = nullptr;
         double best_cost = std::numeric_limits<double>::infinity();
         for (const auto& [name, t] : replica_.types) {
@@ -758,6 +826,7 @@
   if (now >= next_move_) {
     next_move_ = now + kMoveReports * ctx_.settings.platform.report_s;
     plan_moves(views);
+    plan_warming(views);
   }
   if (now >= next_period_ && list_seen_) {
     next_period_ = now + ctx_.settings.operators.period_reports * ctx_.settings.platform.report_s;
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -74,12 +74,14 @@
   void run_policy(const std::map<std::string, net::MachineView>& views);
   double zone_room(const std::string& zone, const std::string& without,
                    const std::map<std::string, net::MachineView>& views) const;
+  double replica_cpus(const std::string& machine) const;
   double zone_floor(const std::string& zone) const;
   bool zone_can_spare(const std::string& name,
                       const std::map<std::string, net::MachineView>& views) const;
   void keep_zone_floors(const std::map<std::string, net::MachineView>& views);
   bool can_move(const core::Job& job, const core::Machine& from,
                 const std::map<std::string, net::MachineView>& views) const;
+  void plan_warming(const std::map<std::string, net::MachineView>& views);
   void plan_moves(const std::map<std::string, net::MachineView>& views);
   void rent_for_waiting(const std::map<std::string, net::MachineView>& views,
                         const std::vector<Waiting>& waiting);
@@ -120,7 +122,7 @@
   std::set<int> writing_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
-  double next_on_demand_ = 0, next_move_ = 0;
+  double next_on_demand_ = 0, next_move_ = 0, next_warming_ = 0;
 };
 
 }  // namespace rooksill::cloud
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -605,8 +605,10 @@
   for (const auto& m : r.moves) {
     const TaskRef ref{m.job, m.index};
     const TaskState* t = replica_.task(ref);
-    if (t == nullptr || t->attempt != m.attempt || workers_.count(t->machine) == 0) continue;
-    evicted_[ref] = m.attempt;
+    if (t == nullptr || t->attempt != m.attempt) continue;
+    if (workers_.count(t->machine) != 0) evicted_[ref] = m.attempt;
+    if (workers_.count(m.target) != 0)
+      targets_[ref] = {m.target, ctx_.now.steady + ctx_.settings.platform.report_s};
   }
 }
 
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -132,6 +132,7 @@
   std::set<std::string> drain_;
   std::map<std::string, JobTrouble> troubles_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
+  std::map<TaskRef, std::pair<std::string, double>> targets_;  // where a move leads, until when
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
   std::optional<net::Sighting> sighting_;
   int in_flight_ = 0;
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -46,12 +46,13 @@
   MSGPACK_DEFINE_ARRAY(job, chunk)
 };
 
-// A task to be moved off a machine that is being emptied.
+// A task to be moved off its machine, to wherever fits best or to one machine.
 struct Move {
   std::string job;
   uint32_t index = 0;
   uint64_t attempt = 0;
-  MSGPACK_DEFINE_ARRAY(job, index, attempt)
+  std::string target;
+  MSGPACK_DEFINE_ARRAY(job, index, attempt, target)
 };
 
 struct Routes {
