--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -106,7 +106,8 @@
     const MachineType* type = nullptr;
     double cpus = 0, gpus = 0, memory = 0;
     uint32_t tasks = 0;
-    bool open = false;  // takes new tasks
+    std::set<std::string> fetching;  // images on their way there
+    bool open = false;               // takes new tasks
   };
   std::map<std::string, Room> rooms();
   bool allowed(const JobSpec& s, const Room& r) const;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -31,6 +31,7 @@
     room.gpus -= s.gpus;
     room.memory -= s.memory_gb;
     ++room.tasks;
+    if (!cached(*room.worker, s.image)) room.fetching.insert(s.image);
     auto& team = team_use_[{room.machine->block, s.team}];
     team.first += s.cpus;
     team.second += s.gpus;
@@ -134,8 +135,13 @@
     if (!within_limit(s, r.machine->block)) continue;
     double score = 0;
     // An image that is there already starts at once; one on its way costs its share of the wait.
-    if (!cached(*r.worker, s.image))
-      score += 100 * (1 + s.image_gb / std::max(0.01, r.type->fetch_gb_per_s));
+    if (!cached(*r.worker, s.image)) {
+      // Images fetched at the same time share the rate, so those waiting for one go together.
+      const double fetch = s.image_gb / std::max(0.01, r.type->fetch_gb_per_s);
+      const bool coming = r.fetching.count(s.image) != 0;
+      const double others = static_cast<double>(r.fetching.size()) - (coming ? 1 : 0);
+      score += 100 * (1 + fetch * (coming ? 0.5 : 1) * (1 + others));
+    }
     if (s.spot && !r.machine->spot) score += 300;
     if (trouble != troubles_.end() && trouble->second.machines.count(name) != 0) score += 1e6;
     const double price = r.machine->spot ? r.type->spot_price : r.type->price;
@@ -324,6 +330,7 @@
       r->gpus -= s.gpus;
       r->memory -= s.memory_gb;
       ++r->tasks;
+      if (!cached(*r->worker, s.image)) r->fetching.insert(s.image);
       auto& used = team_use_[{r->machine->block, s.team}];
       used.first += s.cpus;
       used.second += s.gpus;
