--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "rooksill/core/codec.h"
+#include "rooksill/placement/grants.h"
 #include "rooksill/policy/sizing.h"
 
 namespace rooksill::cloud {
@@ -16,15 +17,13 @@
 using state::Outcome;
 
 namespace {
-constexpr double kLateBoot = 2.5;         // boot times after which a machine is not counted on
-constexpr double kFailedBoot = 4.0;       // boot times after which it is returned
-constexpr double kMinimumCharge = 60;     // the protocol: a machine that is deleted costs 60 s
-constexpr double kMoveReports = 0.4;      // pause between two moves of replicas, in reports
-constexpr double kFloorTasks = 2;         // replicas' worth of room that a zone keeps
-constexpr double kFloorMachines = 1;      // and of what the fullest machine there has
-constexpr double kWarmingReports = 1.5;   // longest fetch that a replica is moved for, in reports
-constexpr double kWarmingShare = 0.0006;  // of the replicas' time that bringing images may cost
-constexpr int kTasksMoved = 3;            // tasks of arrays moved at a time
+constexpr double kLateBoot = 2.5;      // boot times after which a machine is not counted on
+constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
+constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
+constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
+constexpr double kFloorTasks = 2;      // replicas' worth of room that a zone keeps
+constexpr double kFloorMachines = 1;   // and of what the fullest machine there has
+constexpr int kTasksMoved = 3;         // tasks of arrays moved at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
@@ -241,13 +240,14 @@
   return n;
 }
 
-void Fleet::rent(const Offer& offer, int count, const std::string& reason) {
+void Fleet::rent(const Offer& offer, int count, const std::string& reason, int block) {
   if (count <= 0) return;
   last_rental_[offer] = ctx_.now.steady;
   Hire h;
   h.offer = offer;
   h.count = std::min(count, kHireMost);
   h.reason = reason;
+  h.block = block;
   h.asked = ctx_.now.wall;
   const std::string name = "rk-" + std::to_string(term_) + "-" + std::to_string(next_hire_++);
   ctx_.info("fleet", "rent {} {} {} in {} ({}) as {}", h.count,
@@ -269,7 +269,7 @@
           const double report = ctx_.settings.platform.report_s;
           if (d.status == 200) {
             if (auto names = parse_rented(d.body)) {
-              for (const auto& n : *names) deal(n, x.offer);
+              for (const auto& n : *names) deal(n, x.offer, x.block);
               if (!names->empty()) caps_.erase(x.offer);
               if (static_cast<int>(names->size()) < x.count) refused(x.offer);
               hires_.erase(it);
@@ -308,14 +308,14 @@
   return static_cast<int>(std::min_element(load.begin(), load.end()) - load.begin());
 }
 
-void Fleet::deal(const std::string& name, const Offer& offer) {
+void Fleet::deal(const std::string& name, const Offer& offer, int block) {
   if (name.empty() || name.size() > 100) return;
   Machine m;
   m.name = name;
   m.type = offer.pool.type;
   m.zone = offer.zone;
   m.spot = offer.pool.spot;
-  m.block = best_block(offer);
+  m.block = block >= 0 ? block : best_block(offer);
   m.rented = ctx_.now.wall;
   to_deal_.emplace(name, std::move(m));
 }
@@ -475,11 +475,18 @@
       continue;
     }
     const MachineType* best = nullptr;
-    for (const auto& [name, t] : replica_.types)
-      if (std::find(t.zones.begin(), t.zones.end(), zone) != t.zones.end() &&
-          open({{name, false}, zone}) && (best == nullptr || t.price < best->price))
-        best = &t;
-    if (best != nullptr) rent({{best->name, false}, zone}, 1, "little room in the zone");
+    for (const auto& [name, t] : replica_.types) {
+      Offer offer;
+      offer.pool.type = name;
+      offer.zone = zone;
+      const bool there = std::find(t.zones.begin(), t.zones.end(), zone) != t.zones.end();
+      if (there && open(offer) && (best == nullptr || t.price < best->price)) best = &t;
+    }
+    if (best == nullptr) continue;
+    Offer offer;
+    offer.pool.type = best->name;
+    offer.zone = zone;
+    rent(offer, 1, "little room in the zone");
   }
 }
 
@@ -586,65 +593,6 @@
   return false;
 }
 
-// A replica starts at once only where its image is, and a new machine has none. So one replica now
-// and then is moved to a machine that has room but lacks its image. The pause keeps what that costs
-// below kWarmingShare of the replicas' time.
-void Fleet::plan_warming(const std::map<std::string, net::MachineView>& views) {
-  if (ctx_.now.steady < next_warming_) return;
-  int replicas = 0;
-  for (const auto& id : replica_.open_jobs) {
-    const Job& job = *replica_.job(id);
-    if (job.spec.shape == core::Shape::kService) replicas += static_cast<int>(job.placed);
-  }
-  const Job* best = nullptr;
-  core::TaskRef best_task;
-  std::string best_target;
-  double best_fetch = 0, best_cost = std::numeric_limits<double>::infinity();
-  for (const auto& [target, v] : views) {
-    const Machine* to = replica_.machine(target);
-    auto type = to != nullptr ? replica_.types.find(to->type) : replica_.types.end();
-    if (type == replica_.types.end() || to->spot || !v.up || v.draining || v.silent || v.bad ||
-        drain_.count(target) != 0)
-      continue;
-    const std::set<std::string> there(v.images.begin(), v.images.end());
-    for (const auto& id : replica_.open_jobs) {
-      const Job& job = *replica_.job(id);
-      const JobSpec& s = job.spec;
-      if (s.shape != core::Shape::kService || s.priority != core::Priority::kProd) continue;
-      if (job.placed != s.tasks || s.one_zone || there.count(s.image) != 0) continue;
-      if (s.cpus > v.cpus_free || s.memory_gb > v.memory_free || s.gpus > v.gpus_free) continue;
-      if (!s.zone.empty() && s.zone != to->zone) continue;
-      if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
-        continue;
-      const double fetch = s.image_gb / std::max(0.01, type->second.fetch_gb_per_s);
-      if (fetch > kWarmingReports * ctx_.settings.platform.report_s) continue;
-      for (uint32_t i = 0; i < s.tasks; ++i) {
-        const core::TaskRef ref{id, i};
-        const Machine* from = replica_.machine(replica_.task(ref)->machine);
-        // Within a zone only: a spread job stays as spread as it is.
-        if (from == nullptr || from->zone != to->zone) continue;
-        auto fv = views.find(from->name);
-        if (fv == views.end() || !fv->second.up || fv->second.silent) continue;
-        // Nobody's replica is moved for this twice before everybody's has been once.
-        const double cost = fetch * static_cast<double>(replica_.task(ref)->attempt);
-        if (cost >= best_cost) continue;
-        best = &job;
-        best_task = ref;
-        best_target = target;
-        best_fetch = fetch;
-        best_cost = cost;
-      }
-    }
-  }
-  next_warming_ = ctx_.now.steady + ctx_.settings.platform.report_s;
-  if (best == nullptr || replicas == 0) return;
-  next_warming_ = ctx_.now.steady + best_fetch / (kWarmingShare * replicas);
-  ctx_.info("fleet", "task {} is moved to {} for its image, {:.1f} s", core::task_name(best_task),
-            best_target, best_fetch);
-  moves_.push_back(
-      {best_task.job, best_task.index, replica_.task(best_task)->attempt, best_target});
-}
-
 // Moves replicas one at a time, so that hardly anybody notices; tasks that save their progress a
 // few at a time. Tasks that would lose their work are left to finish.
 void Fleet::plan_moves(const std::map<std::string, net::MachineView>& views) {
@@ -662,7 +610,7 @@
         continue;
       if (!can_move(*job, *from, views)) continue;
       ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), name);
-      moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt, ""});
+      moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt});
       ++(service ? replicas : tasks);
     }
   }
@@ -675,6 +623,7 @@
     std::string zone;
     bool spot;
     double cpus, gpus, memory;
+    int block;
   };
   std::vector<Room> rooms;
   for (const auto& [name, m] : replica_.machines) {
@@ -687,26 +636,26 @@
     const auto& t = type->second;
     if (up) {
       if (v->second.cpus_free > 0)
-        rooms.push_back(
-            {&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free, v->second.memory_free});
+        rooms.push_back({&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free,
+                         v->second.memory_free, m.block});
     } else if (ctx_.now.wall - m.rented < kLateBoot * t.boot_s) {
-      rooms.push_back({&t, m.zone, m.spot, t.cpus, t.gpus, t.memory_gb});
+      rooms.push_back({&t, m.zone, m.spot, t.cpus, t.gpus, t.memory_gb, m.block});
     }
   }
   for (const auto& [name, m] : to_deal_) {
     auto type = replica_.types.find(m.type);
     if (type == replica_.types.end() || replica_.machine(name) != nullptr) continue;
     rooms.push_back({&type->second, m.zone, m.spot, type->second.cpus, type->second.gpus,
-                     type->second.memory_gb});
+                     type->second.memory_gb, m.block});
   }
   for (const auto& [name, h] : hires_) {
     auto type = replica_.types.find(h.offer.pool.type);
     if (type == replica_.types.end()) continue;
     for (int i = 0; i < h.count; ++i)
       rooms.push_back({&type->second, h.offer.zone, h.offer.pool.spot, type->second.cpus,
-                       type->second.gpus, type->second.memory_gb});
+                       type->second.gpus, type->second.memory_gb, h.block});
   }
-  std::map<Offer, int> wanted;
+  std::map<Offer, int> wanted, homes;
   const double pause = ctx_.settings.platform.report_s;
   // What waits in all, by whether it may use cheap machines: a machine is chosen to hold that, not
   // one job alone.
@@ -722,6 +671,16 @@
           ++zones[m->zone];
           if (s.one_zone) only_zone = m->zone;
         }
+    // A limit too small to be split lies with one block: only room there is of use.
+    int home = -1, granting = 0;
+    for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b)
+      if (placement::granted_cpus(ctx_.settings, replica_.types, s.team, b,
+                                  static_cast<int>(replica_.leases.size())) >= s.cpus) {
+        home = b;
+        ++granting;
+      }
+    if (granting != 1) home = -1;
+    auto in_block = [&](int block) { return home < 0 || block == home; };
     auto fits_zone = [&](const std::string& zone) {
       if (!only_zone.empty() && zone != only_zone) return false;
       return !s.spread || zones[zone] < (s.tasks + 1) / 2;
@@ -732,7 +691,9 @@
     for (uint32_t i = 0; i < w.count; ++i) {
       Room* found = nullptr;
       for (auto& r : rooms) {
-        if ((r.spot && !s.spot) || !fits_zone(r.zone) || !allowed_type(r.type->name)) continue;
+        if ((r.spot && !s.spot) || !in_block(r.block) || !fits_zone(r.zone) ||
+            !allowed_type(r.type->name))
+          continue;
         if (s.cpus > r.cpus + 1e-9 || s.gpus > r.gpus + 1e-9 || s.memory_gb > r.memory + 1e-9)
           continue;
         found = &r;
@@ -746,12 +707,13 @@
           if (m == nullptr || v == views.end() || !v->second.up || releasing_.count(*d) != 0)
             continue;
           auto type = replica_.types.find(m->type);
-          if (type == replica_.types.end() || (m->spot && !s.spot) || !fits_zone(m->zone) ||
-              !allowed_type(m->type) || v->second.load + share(s, type->second) > 1)
+          if (type == replica_.types.end() || !in_block(m->block) || (m->spot && !s.spot) ||
+              !fits_zone(m->zone) || !allowed_type(m->type) ||
+              v->second.load + share(s, type->second) > 1)
             continue;
           const double rest = 1 - v->second.load;
           rooms.push_back({&type->second, m->zone, m->spot, type->second.cpus * rest,
-                           type->second.gpus * rest, type->second.memory_gb * rest});
+                           type->second.gpus * rest, type->second.memory_gb * rest, m->block});
           found = &rooms.back();
           ctx_.info("fleet", "machine {} is kept for waiting tasks", *d);
           drain_.erase(d);
@@ -785,8 +747,9 @@
         }
         if (best_type == nullptr) break;
         ++wanted[best];
+        if (home >= 0) homes[best] = home;
         rooms.push_back({best_type, best.zone, best.pool.spot, best_type->cpus, best_type->gpus,
-                         best_type->memory_gb});
+                         best_type->memory_gb, home});
         found = &rooms.back();
       }
       left[s.spot] -= 1;
@@ -801,7 +764,8 @@
     auto last = last_rental_.find(offer);
     // At most one call per type and zone every few seconds.
     if (last != last_rental_.end() && ctx_.now.steady < last->second + pause) continue;
-    rent(offer, n, "on demand");
+    auto at = homes.find(offer);
+    rent(offer, n, "on demand", at == homes.end() ? -1 : at->second);
   }
 }
 
@@ -826,7 +790,6 @@
   if (now >= next_move_) {
     next_move_ = now + kMoveReports * ctx_.settings.platform.report_s;
     plan_moves(views);
-    plan_warming(views);
   }
   if (now >= next_period_ && list_seen_) {
     next_period_ = now + ctx_.settings.operators.period_reports * ctx_.settings.platform.report_s;
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -53,6 +53,7 @@
   struct Hire {
     Offer offer;
     int count = 0;
+    int block = -1;  // where the machines go; -1: wherever fewest are
     std::string reason;
     bool busy = false;
     double next = 0, asked = 0;
@@ -64,8 +65,8 @@
   void fetch_list(const std::string& after);
   void on_list();
   void send_hires();
-  void rent(const Offer& offer, int count, const std::string& reason);
-  void deal(const std::string& name, const Offer& offer);
+  void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
+  void deal(const std::string& name, const Offer& offer, int block = -1);
   void write_machines();
   void judge(const std::map<std::string, net::MachineView>& views,
              const std::set<int>& suspect_blocks);
@@ -81,7 +82,6 @@
   void keep_zone_floors(const std::map<std::string, net::MachineView>& views);
   bool can_move(const core::Job& job, const core::Machine& from,
                 const std::map<std::string, net::MachineView>& views) const;
-  void plan_warming(const std::map<std::string, net::MachineView>& views);
   void plan_moves(const std::map<std::string, net::MachineView>& views);
   void rent_for_waiting(const std::map<std::string, net::MachineView>& views,
                         const std::vector<Waiting>& waiting);
@@ -122,7 +122,7 @@
   std::set<int> writing_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
-  double next_on_demand_ = 0, next_move_ = 0, next_warming_ = 0;
+  double next_on_demand_ = 0, next_move_ = 0;
 };
 
 }  // namespace rooksill::cloud
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -309,7 +309,7 @@
   ctx_.debug("holder", "task {} attempt {} ended on {}: cause {}", task_name(t.task), t.attempt,
              w.name, static_cast<int>(t.cause));
   if (t.cause == Cause::kError) {
-    note_failure(w, t.task.job);
+    note_failure(w, t.task.job, t.attempt);
   } else if (t.cause != Cause::kStopped) {
     w.avoid_until = ctx_.now.steady + ctx_.settings.platform.report_s / 3;
   }
@@ -319,12 +319,14 @@
 
 // A machine on which task after task fails is returned; a job that fails on machine after machine
 // backs off by itself and is not held against them.
-void Holder::note_failure(Worker& w, const std::string& job) {
+void Holder::note_failure(Worker& w, const std::string& job, uint64_t attempt) {
   JobTrouble& trouble = troubles_[job];
   trouble.machines.insert(w.name);
-  ++trouble.failures;
+  // Attempts are counted in the state: they show what failed under other holders.
+  trouble.failures =
+      std::max(trouble.failures + 1, static_cast<int>(std::min<uint64_t>(attempt, 1000)));
   const double report = ctx_.settings.platform.report_s;
-  if (static_cast<int>(trouble.machines.size()) >= kSuspectJob) {
+  if (static_cast<int>(trouble.machines.size()) >= kSuspectJob || attempt >= 2 * kSuspectJob) {
     const double wait = std::min(kMaxBackoffReports, 0.5 * trouble.failures) * report;
     trouble.retry_at = ctx_.now.steady + wait;
     ctx_.info("holder", "job {} failed on {} machines: next try in {:.1f} s", job,
@@ -607,8 +609,6 @@
     const TaskState* t = replica_.task(ref);
     if (t == nullptr || t->attempt != m.attempt) continue;
     if (workers_.count(t->machine) != 0) evicted_[ref] = m.attempt;
-    if (workers_.count(m.target) != 0)
-      targets_[ref] = {m.target, ctx_.now.steady + ctx_.settings.platform.report_s};
   }
 }
 
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -88,7 +88,7 @@
   bool trusted(const Worker& w) const;
   bool ends_in_time(const Worker& w, const worker::ReportedTask& t, const Job& job) const;
   void lost(Worker& w, const worker::ReportedTask& t);
-  void note_failure(Worker& w, const std::string& job);
+  void note_failure(Worker& w, const std::string& job, uint64_t attempt);
   void note_images(Worker& w);
   void change(const TaskRef& task, Change c);
   bool changing(const TaskRef& task) const;
@@ -133,7 +133,6 @@
   std::set<std::string> drain_;
   std::map<std::string, JobTrouble> troubles_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
-  std::map<TaskRef, std::pair<std::string, double>> targets_;  // where a move leads, until when
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
   std::optional<net::Sighting> sighting_;
   int in_flight_ = 0;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -328,8 +328,6 @@
         block = it->second.block;
       } else if (together >= 0) {
         block = together;
-      } else if (auto d = directed_.find(key); d != directed_.end() && now < d->second.second) {
-        block = d->second.first;
       } else {
         block = choose_block(job, c, views);
       }
@@ -343,7 +341,6 @@
       fresh[block].push_back({id, c});
     }
   }
-  std::erase_if(directed_, [&](const auto& d) { return now >= d.second.second; });
   std::erase_if(routes_, [&](const auto& r) { return open.count(r.first) == 0; });
   const bool full = now >= next_full_routes_;
   const auto moves = fleet_.take_moves();
@@ -367,9 +364,6 @@
     }
   }
   for (auto& [label, m] : messages) m.moves = moves;
-  for (const auto& move : moves)
-    if (const Machine* to = move.target.empty() ? nullptr : replica_.machine(move.target))
-      directed_[{move.job, move.index / kChunkTasks}] = {to->block, now + patience};
   for (auto& [label, m] : messages) {
     if (!full && m.routes.empty() && m.moves.empty()) continue;
     if (label == ctx_.settings.platform.label)
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -56,7 +56,6 @@
     double since = 0;
   };
   std::map<ChunkId, Routed> routes_;
-  std::map<ChunkId, std::pair<int, double>> directed_;  // a move's block, until when
   std::map<ChunkId, double> waiting_since_;
   std::set<std::string> finishing_;
 };
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -46,13 +46,12 @@
   MSGPACK_DEFINE_ARRAY(job, chunk)
 };
 
-// A task to be moved off its machine, to wherever fits best or to one machine.
+// A task to be moved off a machine that is being emptied.
 struct Move {
   std::string job;
   uint32_t index = 0;
   uint64_t attempt = 0;
-  std::string target;
-  MSGPACK_DEFINE_ARRAY(job, index, attempt, target)
+  MSGPACK_DEFINE_ARRAY(job, index, attempt)
 };
 
 struct Routes {
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -302,16 +302,7 @@
       const TaskState& t = chunk.tasks[i];
       const TaskRef ref{s.id, c.chunk * kChunkTasks + i};
       if (!replica_.waits(t) || changing(ref)) continue;
-      Room* r = nullptr;
-      if (auto to = targets_.find(ref); to != targets_.end()) {
-        auto it = room.find(to->second.first);
-        if (to->second.second > ctx_.now.steady && it != room.end() && allowed(s, it->second) &&
-            fits(s, it->second) && within_limit(s, it->second.machine->block))
-          r = &it->second;
-        targets_.erase(to);
-      }
-      const bool directed = r != nullptr;
-      if (!directed) r = choose(job, room, zones, only_zone);
+      Room* r = choose(job, room, zones, only_zone);
       if (r == nullptr) {
         if (s.priority > Priority::kIdle && evictions < kMaxEvictions) {
           preempt(job, room, zones, only_zone, false);
@@ -320,7 +311,7 @@
         break;
       }
       // A replica that would wait for its image starts sooner where lower work makes room for it.
-      if (!directed && s.shape == Shape::kService && s.priority == Priority::kProd &&
+      if (s.shape == Shape::kService && s.priority == Priority::kProd &&
           !cached(*r->worker, s.image) && evictions < kMaxEvictions &&
           preempt(job, room, zones, only_zone, true)) {
         ++evictions;
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -321,6 +321,11 @@
             fail(l, id + " is not over: accepted " + std::to_string(j.accepted) + ", " +
                         std::to_string(w.running(id)) + " running");
       }
+    } else if (what == "over_batch") {
+      for (const auto& [id, j] : w.jobs())
+        if (!j.truth.service && j.told.empty() && !j.rejected)
+          fail(l, id + " is not over: accepted " + std::to_string(j.accepted) + ", " +
+                      std::to_string(w.running(id)) + " running");
     } else if (what == "done" || what == "withdrawn") {
       if (one(2).told != what) fail(l, l.word(2) + " was told '" + one(2).told + "'");
     } else if (what == "running") {
