A placement goes out only on the knowledge it was decided on

Ruled out: late transactions (their guards failed). The change now carries the revisions it was decided on.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -360,12 +360,22 @@
       {task.index % kChunkTasks, std::move(c)});
 }
 
+// The revisions that a placement depends on: its block's lease and, where a job's tasks depend on
+// each other's places, all its chunks. The transaction guards what is known when it is sent;
+// without this, a decision made on older knowledge would go out under newer guards.
+uint64_t Holder::basis(const Job& job, int block) const {
+  uint64_t newest = replica_.leases[static_cast<size_t>(block)].stamp;
+  if (job.spec.spread || job.spec.one_zone)
+    for (const auto& c : job.chunks) newest = std::max(newest, c.stamp);
+  return newest;
+}
+
 bool Holder::apply_change(const Job& job, const TaskRef& ref, TaskState& s, const Change& c) const {
   (void)ref;
   if (!holds(c.block)) return false;
   if (c.kind == Change::Kind::kPlace) {
     if (job.over() || !replica_.waits(s) || s.attempt + 1 != c.attempt) return false;
-    if (replica_.machine_gone(c.machine)) return false;
+    if (replica_.machine_gone(c.machine) || c.basis != basis(job, c.block)) return false;
     s.machine = c.machine;
     s.attempt = c.attempt;
     return true;
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -70,7 +70,8 @@
     enum class Kind { kPlace, kLost, kDone } kind = Kind::kPlace;
     std::string machine;
     uint64_t attempt = 0;
-    int block = 0;  // whose lease guards it
+    int block = 0;       // whose lease guards it
+    uint64_t basis = 0;  // of a placement: what it was decided on
   };
   struct ChunkWork {
     std::map<uint32_t, Change> waiting, sent;
@@ -92,6 +93,7 @@
   void note_images(Worker& w);
   void change(const TaskRef& task, Change c);
   bool changing(const TaskRef& task) const;
+  uint64_t basis(const Job& job, int block) const;
   bool apply_change(const Job& job, const TaskRef& ref, TaskState& state, const Change& c) const;
   void flush_group();
   void settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -327,7 +327,8 @@
       used.second += s.gpus;
       ++zones[r->machine->zone];
       if (s.one_zone) only_zone = r->machine->zone;
-      change(ref, {Change::Kind::kPlace, r->machine->name, t.attempt + 1, r->machine->block});
+      change(ref, {Change::Kind::kPlace, r->machine->name, t.attempt + 1, r->machine->block,
+                   basis(job, r->machine->block)});
       ctx_.debug("placer", "task {} attempt {} goes to {} after {:.2f} s{}", task_name(ref),
                  t.attempt + 1, r->machine->name, ctx_.now.wall - job.submitted,
                  cached(*r->worker, s.image) ? "" : ", image not there");
