--- a/src/rooksill/api/codec.cc
+++ b/src/rooksill/api/codec.cc
@@ -72,6 +72,8 @@
     s.shape = core::Shape::kArray;
   else if (shape == "service")
     s.shape = core::Shape::kService;
+  else if (shape == "ensemble")
+    s.shape = core::Shape::kGang;  // not in the protocol's text; see docs/questions.md
   else
     throw Bad{"shape"};
   const std::string rank = text(j, "rank");
--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -49,7 +49,7 @@
 std::string Users::unrunnable(const core::JobSpec& s) const {
   auto team = ctx_.settings.platform.teams.find(s.team);
   if (team == ctx_.settings.platform.teams.end()) return "unknown team";
-  const double count = s.shape == core::Shape::kService ? s.tasks : 1;
+  const double count = s.shape == core::Shape::kArray ? 1 : s.tasks;
   const auto& limit = team->second;
   if (limit.cpus_max > 0 && s.cpus * count > limit.cpus_max) return "more than the team's limit";
   if (limit.gpus_max > 0 && s.gpus * count > limit.gpus_max) return "more than the team's limit";
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -120,6 +120,8 @@
   bool preempt(const Job& job, std::map<std::string, Room>& rooms,
                const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
                bool only_cached);
+  bool fits_whole(const Job& job, std::map<std::string, Room> rooms,
+                  std::map<std::string, uint32_t> zones, const std::string& only_zone);
   double reserve(const JobSpec& s, const Room& r) const;
   double due_time(const Job& job) const;
 
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -332,7 +332,7 @@
         block = choose_block(job, c, views);
       }
       // One block at a time decides for a job whose tasks depend on each other's places.
-      if (job.spec.one_zone || job.spec.spread) together = block;
+      if (job.spec.one_zone || job.spec.spread || job.spec.shape == Shape::kGang) together = block;
       if (it != routes_.end() && it->second.block == block) {
         if (now - it->second.since >= patience) it->second.since = now;
         continue;
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -11,7 +11,7 @@
 
 namespace rooksill::core {
 
-enum class Shape { kArray, kService };
+enum class Shape { kArray, kService, kGang };
 enum class Priority { kIdle = 0, kStandard = 1, kUrgent = 2, kProd = 3 };
 
 struct JobSpec {
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -231,6 +231,22 @@
   return std::isinf(due) ? last + kHopeless : due;
 }
 
+// A gang's tasks wait for one another: none is placed before all that wait have room.
+bool Holder::fits_whole(const Job& job, std::map<std::string, Room> rooms,
+                        std::map<std::string, uint32_t> zones, const std::string& only_zone) {
+  for (uint32_t i = 0; i < job.spec.tasks; ++i) {
+    const TaskRef ref{job.spec.id, i};
+    if (!replica_.waits(*replica_.task(ref)) || changing(ref)) continue;
+    Room* r = choose(job, rooms, zones, only_zone);
+    if (r == nullptr) return false;
+    r->cpus -= job.spec.cpus;
+    r->gpus -= job.spec.gpus;
+    r->memory -= job.spec.memory_gb;
+    ++zones[r->machine->zone];
+  }
+  return true;
+}
+
 void Holder::place() {
   if (held_.empty() || routed_.empty()) return;
   struct Candidate {
@@ -297,6 +313,7 @@
           }
       }
     }
+    if (s.shape == Shape::kGang && !fits_whole(job, room, zones, only_zone)) continue;
     const Chunk& chunk = job.chunks[c.chunk];
     for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
       const TaskState& t = chunk.tasks[i];
--- a/src/rooksill/worker/codec.cc
+++ b/src/rooksill/worker/codec.cc
@@ -32,7 +32,7 @@
 }
 
 std::optional<Phase> parse_phase(const std::string& s) {
-  if (s == "pulling") return Phase::kFetching;
+  if (s == "pulling" || s == "gathering") return Phase::kFetching;
   if (s == "running") return Phase::kRunning;
   if (s == "saving") return Phase::kSaving;
   if (s == "exited") return Phase::kExited;
@@ -41,7 +41,8 @@
 
 Cause parse_cause(const std::string& s) {
   if (s == "done") return Cause::kDone;
-  if (s == "stopped") return Cause::kStopped;
+  // A gang's task that ends because of the others says nothing of its machine.
+  if (s == "stopped" || s == "mates_gone" || s == "alone") return Cause::kStopped;
   if (s == "no_room") return Cause::kNoRoom;
   if (s == "busy") return Cause::kBusy;
   if (s == "no_such") return Cause::kUnknownTask;
