--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -407,7 +407,7 @@
                         const std::map<std::string, net::MachineView>& views) const {
   double room = 0;
   for (const auto& [name, m] : replica_.machines) {
-    if (m.spot || m.zone != zone || name == without || drain_.count(name) != 0 ||
+    if (m.spot || (!zone.empty() && m.zone != zone) || name == without || drain_.count(name) != 0 ||
         to_drop_.count(name) != 0 || releasing_.count(name) != 0)
       continue;
     auto v = views.find(name);
@@ -418,7 +418,8 @@
   }
   for (const auto& [name, h] : hires_) {
     auto type = replica_.types.find(h.offer.pool.type);
-    if (!h.offer.pool.spot && h.offer.zone == zone && type != replica_.types.end())
+    if (!h.offer.pool.spot && (zone.empty() || h.offer.zone == zone) &&
+        type != replica_.types.end())
       room += h.count * type->second.cpus;
   }
   return room;
@@ -433,19 +434,20 @@
   return used;
 }
 
-// What a zone keeps for replicas: the rule sizes a type as a whole, while a spread job needs room
-// in a second zone, and the replicas of a lost machine need it at once.
+// What is kept for replicas: the rule sizes a type as a whole, while a spread job needs room in a
+// second zone (a few replicas' worth in each), and the replicas of a lost machine need room at once
+// (what the fullest machine has, in all zones together: zone empty).
 double Fleet::zone_floor(const std::string& zone) const {
   double largest = 0, most = 0;
   for (const auto& [name, m] : replica_.machines) {
-    if (m.spot || m.zone != zone) continue;
+    if (m.spot || (!zone.empty() && m.zone != zone)) continue;
     most = std::max(most, replica_cpus(name));
     for (const auto& ref : replica_.placed_on(name)) {
       const JobSpec& s = replica_.job(ref.job)->spec;
       if (s.shape == core::Shape::kService) largest = std::max(largest, s.cpus);
     }
   }
-  return std::max(kFloorTasks * largest, kFloorMachines * most);
+  return zone.empty() ? kFloorMachines * most : kFloorTasks * largest;
 }
 
 bool Fleet::zone_can_spare(const std::string& name,
@@ -455,38 +457,43 @@
   auto type = m != nullptr ? replica_.types.find(m->type) : replica_.types.end();
   if (v == views.end() || type == replica_.types.end()) return false;
   const double moved = replica_cpus(name);
-  return zone_room(m->zone, name, views) - moved >= zone_floor(m->zone);
+  return zone_room(m->zone, name, views) - moved >= zone_floor(m->zone) &&
+         zone_room("", name, views) - moved >= zone_floor("");
 }
 
 void Fleet::keep_zone_floors(const std::map<std::string, net::MachineView>& views) {
   std::set<std::string> zones;
   for (const auto& [name, t] : replica_.types) zones.insert(t.zones.begin(), t.zones.end());
+  zones.insert("");  // all of them together
   for (const auto& zone : zones) {
     const double floor = zone_floor(zone);
     if (floor <= 0 || zone_room(zone, "", views) >= floor) continue;
     // A machine that was to be given back is kept first.
     auto kept = std::find_if(drain_.begin(), drain_.end(), [&](const std::string& name) {
       const Machine* m = replica_.machine(name);
-      return m != nullptr && !m->spot && m->zone == zone && releasing_.count(name) == 0;
+      return m != nullptr && !m->spot && (zone.empty() || m->zone == zone) &&
+             releasing_.count(name) == 0;
     });
     if (kept != drain_.end()) {
       ctx_.info("fleet", "machine {} is kept: little room in {}", *kept, zone);
       drain_.erase(kept);
       continue;
     }
-    const MachineType* best = nullptr;
-    for (const auto& [name, t] : replica_.types) {
-      Offer offer;
-      offer.pool.type = name;
-      offer.zone = zone;
-      const bool there = std::find(t.zones.begin(), t.zones.end(), zone) != t.zones.end();
-      if (there && open(offer) && (best == nullptr || t.price < best->price)) best = &t;
-    }
-    if (best == nullptr) continue;
-    Offer offer;
-    offer.pool.type = best->name;
-    offer.zone = zone;
-    rent(offer, 1, "little room in the zone");
+    Offer best;
+    double best_price = std::numeric_limits<double>::infinity();
+    for (const auto& [name, t] : replica_.types)
+      for (const auto& z : t.zones) {
+        Offer offer;
+        offer.pool.type = name;
+        offer.zone = z;
+        // In one zone the smallest price will do; for all of them it is the room that counts.
+        const double price = zone.empty() && t.cpus > 0 ? t.price / t.cpus : t.price;
+        if ((!zone.empty() && z != zone) || !open(offer) || price >= best_price) continue;
+        best_price = price;
+        best = offer;
+      }
+    if (best.zone.empty()) continue;
+    rent(best, 1, zone.empty() ? "little room in all" : "little room in the zone");
   }
 }
 
