--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -17,13 +17,15 @@
 using state::Outcome;
 
 namespace {
-constexpr double kLateBoot = 2.5;      // boot times after which a machine is not counted on
-constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
-constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
-constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
-constexpr double kFloorTasks = 2;      // replicas' worth of room that a zone keeps
-constexpr double kFloorMachines = 1;   // and of what the fullest machine there has
-constexpr int kTasksMoved = 3;         // tasks of arrays moved at a time
+constexpr double kLateBoot = 2.5;            // boot times after which a machine is not counted on
+constexpr double kFailedBoot = 4.0;          // boot times after which it is returned
+constexpr double kMinimumCharge = 60;        // the protocol: a machine that is deleted costs 60 s
+constexpr double kMoveReports = 0.4;         // pause between two moves of replicas, in reports
+constexpr double kFloorTasks = 2;            // replicas' worth of room that a zone keeps
+constexpr double kFloorMachines = 1;         // and of what the fullest machine there has
+constexpr double kSilentPauseReports = 1.5;  // between releases of silent machines with replicas
+constexpr double kSilentLease = 0.5;         // part of a lease that the last of them may wait
+constexpr int kTasksMoved = 3;               // tasks of arrays moved at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
@@ -375,6 +377,19 @@
   if (sent) release_sent_.insert(names.begin(), names.end());
 }
 
+// Several machines with replicas that fall silent together are released one after the other: what
+// the first one's replicas bring to their new machines lets the next one's start at once, and until
+// then those may still be serving. Past most of the lease they are about to be killed anyway.
+bool Fleet::may_release_silent(const std::string& name) {
+  const double now = ctx_.now.steady;
+  const auto& p = ctx_.settings.platform;
+  if (replica_cpus(name) <= 0 || releasing_.count(name) != 0) return true;
+  const double since = silent_since_.emplace(name, now).first->second;
+  if (now < next_silent_release_ && now - since < kSilentLease * p.lease_s) return false;
+  next_silent_release_ = now + kSilentPauseReports * p.report_s;
+  return true;
+}
+
 void Fleet::judge(const std::map<std::string, net::MachineView>& views,
                   const std::set<int>& suspect_blocks) {
   for (const auto& [name, m] : replica_.machines) {
@@ -388,7 +403,7 @@
     const auto& v = it->second;
     if (!v.up && v.tasks == 0 && age > kFailedBoot * boot)
       release(name, "never came up");
-    else if (v.silent && suspect_blocks.count(m.block) == 0)
+    else if (v.silent && suspect_blocks.count(m.block) == 0 && may_release_silent(name))
       release(name, "silent");
     else if (v.bad)
       release(name, "fails every task");
@@ -781,6 +796,10 @@
   if (!active_) return;
   const double now = ctx_.now.steady;
   limit_.refill(now);
+  std::erase_if(silent_since_, [&](const auto& s) {
+    auto v = views.find(s.first);
+    return v == views.end() || !v->second.silent;
+  });
   std::erase_if(gone_, [&](const auto& g) {
     return now - g.second > 4 * ctx_.settings.platform.cloud_list_lag_s + 30;
   });
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -68,6 +68,7 @@
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
   void deal(const std::string& name, const Offer& offer, int block = -1);
   void write_machines();
+  bool may_release_silent(const std::string& name);
   void judge(const std::map<std::string, net::MachineView>& views,
              const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
@@ -122,7 +123,8 @@
   std::set<int> writing_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
-  double next_on_demand_ = 0, next_move_ = 0;
+  double next_on_demand_ = 0, next_move_ = 0, next_silent_release_ = 0;
+  std::map<std::string, double> silent_since_;
 };
 
 }  // namespace rooksill::cloud
