--- a/src/rooksill/api/users.h
+++ b/src/rooksill/api/users.h
@@ -19,7 +19,6 @@
   // Sends what is waiting; comes after reports and decisions.
   void flush();
   std::vector<std::string> take_accepted() { return std::exchange(accepted_, {}); }
-  size_t waiting() const { return creations_.size() + polls_.size(); }
 
  private:
   struct Creation {
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -188,7 +188,6 @@
   fleet_.measure(replica_.events);
   replica_.events.clear();
   replica_.touched_jobs.clear();
-  replica_.touched_machines.clear();
   holder_.flush();
   holder_.push();
   users_.flush();
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -95,13 +95,10 @@
   if (suspects && !suspects_itself_)
     ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
   suspects_itself_ = suspects;
-  if (ctx_.now.steady > 0 && evicted_.size() > 0) {
-    for (auto it = evicted_.begin(); it != evicted_.end();) {
-      const TaskState* t = replica_.task(it->first);
-      it = t == nullptr || t->machine.empty() || t->attempt != it->second ? evicted_.erase(it)
-                                                                          : std::next(it);
-    }
-  }
+  std::erase_if(evicted_, [&](const auto& e) {
+    const TaskState* t = replica_.task(e.first);
+    return t == nullptr || t->machine.empty() || t->attempt != e.second;
+  });
 }
 
 void Holder::probe(Worker& w) {
@@ -370,8 +367,7 @@
   return newest;
 }
 
-bool Holder::apply_change(const Job& job, const TaskRef& ref, TaskState& s, const Change& c) const {
-  (void)ref;
+bool Holder::apply_change(const Job& job, TaskState& s, const Change& c) const {
   if (!holds(c.block)) return false;
   if (c.kind == Change::Kind::kPlace) {
     if (job.over() || !replica_.waits(s) || s.attempt + 1 != c.attempt) return false;
@@ -433,8 +429,7 @@
       std::map<std::string, uint64_t> extra;
       bool places = false;
       for (auto c = work.waiting.begin(); c != work.waiting.end();) {
-        const TaskRef ref{id.first, id.second * kChunkTasks + c->first};
-        if (!apply_change(*job, ref, tasks[c->first], c->second)) {
+        if (!apply_change(*job, tasks[c->first], c->second)) {
           c = work.waiting.erase(c);
           continue;
         }
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -63,7 +63,6 @@
   std::vector<int> blocks() const;
   bool backing_off(const std::string& job) const;
   std::optional<net::Sighting> take_sighting();
-  size_t pending_changes() const { return work_.size(); }
 
  private:
   struct Change {
@@ -94,7 +93,7 @@
   void change(const TaskRef& task, Change c);
   bool changing(const TaskRef& task) const;
   uint64_t basis(const Job& job, int block) const;
-  bool apply_change(const Job& job, const TaskRef& ref, TaskState& state, const Change& c) const;
+  bool apply_change(const Job& job, TaskState& state, const Change& c) const;
   void flush_group();
   void settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
               std::vector<std::string> keys);
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -77,10 +77,9 @@
 // Who may act for a block. Changing this key makes the former holder's transactions fail.
 struct BlockLease {
   uint64_t stamp = 0;
-  std::string holder;         // label
-  uint64_t incarnation = 0;   // of the holder's process
-  uint64_t token = 0;         // rises with each lease
-  uint64_t last_machine = 0;  // reserved
+  std::string holder;        // label
+  uint64_t incarnation = 0;  // of the holder's process
+  uint64_t token = 0;        // rises with each lease
 };
 
 struct Leadership {
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -83,9 +83,6 @@
       else
         open_jobs.insert(name);
       touched_jobs.insert(name);
-      for (const auto& c : it->second.chunks)
-        for (const auto& t : c.tasks)
-          if (!t.machine.empty()) touched_machines.insert(t.machine);
       return true;
     }
     case 't': {
@@ -129,7 +126,6 @@
       for (auto& [n, m] : fresh)
         if (machines.emplace(n, m).second) changed.push_back(n);
       for (const auto& n : changed) {
-        touched_machines.insert(n);
         recount(n);
       }
       return true;
@@ -159,12 +155,10 @@
           it->second.erase(ref);
           if (it->second.empty()) placed_on_.erase(it);
         }
-        touched_machines.insert(was.machine);
         if (!is.done && j.over()) events.push_back({TaskEvent::Kind::kLeft, ref.job, was.machine});
       }
       if (!is.machine.empty()) {
         placed_on_[is.machine].insert(ref);
-        touched_machines.insert(is.machine);
         if (is.attempt == 1) events.push_back({TaskEvent::Kind::kFirstPlaced, ref.job, is.machine});
       }
     }
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -51,7 +51,7 @@
 
   // Emptied by the core after each batch.
   std::vector<TaskEvent> events;
-  std::set<std::string> touched_machines, touched_jobs;
+  std::set<std::string> touched_jobs;
 
  private:
   void count(Job& job, Chunk& chunk);
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -37,7 +37,6 @@
 void Client::note(const core::CallDone& done) {
   if (done.status == 0 || done.status == 503) {
     last_failure_ = now_;
-    ++refused_;
   } else {
     last_answer_ = now_;
   }
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -81,7 +81,6 @@
   double last_failure() const { return last_failure_; }
   // True while answers come.
   bool healthy() const { return last_answer_ >= last_failure_; }
-  uint64_t refused_count() const { return refused_; }
 
  private:
   void note(const core::CallDone& done);
@@ -90,7 +89,6 @@
   CallFn call_;
   RateLimit requests_, writes_;
   double now_ = 0, last_answer_ = 0, last_failure_ = -1;
-  uint64_t refused_ = 0;
 };
 
 }  // namespace rooksill::state
--- a/src/rooksill/state/committer.h
+++ b/src/rooksill/state/committer.h
@@ -22,7 +22,6 @@
 
   void tick();
   std::vector<net::Update> take_updates() { return std::exchange(updates_, {}); }
-  size_t refreshing() const { return refreshes_.size(); }
 
  private:
   struct Refresh {
