--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -14,6 +14,8 @@
 namespace {
 constexpr double kRetryAfter = 1;   // the shortest pause a user makes
 constexpr double kPatience = 1.5;   // below the 2 s that a user waits for a poll
+constexpr double kPollShare = 0.15;  // part of this node's requests that comparing polls may take
+constexpr double kCreationShare = 0.2;  // and creations
 constexpr size_t kMaxLookups = 64;  // reads of unknown ids under way
 constexpr int kMaxInFlight = 2;     // transactions of a kind under way
 }  // namespace
@@ -77,6 +79,7 @@
   c.since = ctx_.now.steady;
   c.job.submitted = ctx_.now.wall;
   c.job.spec = std::move(*spec);
+  c.job.chunk_tasks = replica_.items_per_value();
   if (core::encode_job(c.job).dump().size() > ctx_.settings.platform.state_value_bytes * 9 / 10)
     return ctx_.reply(r.id, 400, encode_error("builds: too long"));
   const auto bound = static_cast<size_t>(ctx_.settings.platform.state_write_rps * 2);
@@ -84,12 +87,18 @@
   creations_.push_back(std::move(c));
 }
 
+// Between two transactions of a kind, so that together they take no more than their share.
+double Users::pause(double share) const {
+  const auto& p = ctx_.settings.platform;
+  return p.controllers / (share * p.state_rps);
+}
+
 void Users::flush_creations() {
   while (!creations_.empty() && ctx_.now.steady - creations_.front().since > kPatience) {
     later(creations_.front().request);
     creations_.pop_front();
   }
-  if (creations_.empty() || creating_ >= kMaxInFlight) return;
+  if (creations_.empty() || creating_ >= kMaxInFlight || ctx_.now.steady < next_creation_) return;
   // A group goes out at once; the limits decide how large it may be.
   const size_t most = std::min<size_t>(
       {ctx_.settings.platform.state_txn_ops, creations_.size(),
@@ -151,6 +160,7 @@
         }
       });
   if (!sent) return;
+  next_creation_ = ctx_.now.steady + pause(kCreationShare);
   ++creating_;
   creations_.erase(creations_.begin(), creations_.begin() + static_cast<long>(taken));
 }
@@ -194,7 +204,7 @@
     later(polls_.front().request);
     polls_.pop_front();
   }
-  if (polls_.empty() || checking_ >= kMaxInFlight) return;
+  if (polls_.empty() || checking_ >= kMaxInFlight || ctx_.now.steady < next_check_) return;
   const size_t most = std::min(polls_.size(), ctx_.settings.platform.state_txn_ops * 4);
   std::vector<Poll> group(polls_.begin(), polls_.begin() + static_cast<long>(most));
   std::set<std::string> ids;
@@ -218,6 +228,7 @@
     }
   });
   if (!sent) return;
+  next_check_ = ctx_.now.steady + pause(kPollShare);
   ++checking_;
   polls_.erase(polls_.begin(), polls_.begin() + static_cast<long>(most));
 }
@@ -231,6 +242,7 @@
   Job ended;
   ended.spec = job->spec;
   ended.submitted = job->submitted;
+  ended.chunk_tasks = job->chunk_tasks;
   ended.end = JobEnd::kCancelled;
   bool sent = committer_.commit(
       {{core::job_key(id), job->stamp}}, {{core::job_key(id), core::encode_job(ended), 0}},
--- a/src/rooksill/api/users.h
+++ b/src/rooksill/api/users.h
@@ -39,6 +39,7 @@
   void look_up(uint64_t request, const std::string& id, std::function<void()> found,
                bool submission = false);
   void later(uint64_t request);
+  double pause(double share) const;
   void flush_creations();
   void flush_polls();
   std::string unrunnable(const core::JobSpec& spec) const;
@@ -51,6 +52,7 @@
   std::deque<Poll> polls_;
   std::vector<std::string> accepted_;
   int creating_ = 0, checking_ = 0;
+  double next_creation_ = 0, next_check_ = 0;
   size_t lookups_ = 0;
 };
 
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -25,9 +25,12 @@
 constexpr double kFloorMachines = 1;         // and of what the fullest machine there has
 constexpr double kSilentPauseReports = 1.5;  // between releases of silent machines with replicas
 constexpr double kSilentLease = 0.5;         // part of a lease that the last of them may wait
-constexpr int kTasksMoved = 3;               // tasks of arrays moved at a time
+constexpr int kTasksMoved = 3;               // tasks of arrays moved at a time, and
+constexpr double kMovedPart = 0.02;          // for each machine there is
+constexpr int kMoveLooks = 48;               // tasks looked at for a move at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
+constexpr int kHiresAhead = 2;  // requests' worth of one offer that is waited for
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
 constexpr double kCallTimeout = 3;
 }  // namespace
@@ -62,14 +65,26 @@
   }
 }
 
-void Fleet::observe(const std::map<std::string, net::MachineView>& views) {
+// How busy the machines were, by what the state says is on them: every controller knows that.
+void Fleet::observe() {
   const double now = ctx_.now.steady;
+  const auto& s = ctx_.settings;
+  if (now - last_tick_ < s.platform.report_s / 4) return;
   const double passed = last_tick_ > 0 ? now - last_tick_ : 0;
   last_tick_ = now;
-  for (const auto& [name, v] : views)
-    if (const Machine* m = replica_.machine(name)) demand_[{m->type, m->spot}].busy(v.load, passed);
+  std::map<Pool, double> busy;
+  for (const auto& [name, m] : replica_.machines) {
+    const auto& load = replica_.load(name);
+    auto type = replica_.types.find(m.type);
+    if (load.tasks.empty() || type == replica_.types.end()) continue;
+    JobSpec all;
+    all.cpus = load.cpus;
+    all.gpus = load.gpus;
+    all.memory_gb = load.memory;
+    busy[{m.type, m.spot}] += share(all, type->second);
+  }
+  for (const auto& [pool, machines] : busy) demand_[pool].busy(machines, passed);
   if (now < next_measure_) return;
-  const auto& s = ctx_.settings;
   const double period = s.operators.period_reports * s.platform.report_s;
   if (next_measure_ > 0)
     for (auto& [pool, d] : demand_) d.end_period(period, s.operators.demand_cap);
@@ -181,7 +196,7 @@
       release(m.name, "unexpected and failed");
     } else {
       ctx_.info("fleet", "machine {} was not expected: adopted", m.name);
-      deal(m.name, {{m.type, m.spot}, m.zone});
+      deal({m.name}, {{m.type, m.spot}, m.zone});
     }
   }
   unexpected_ = std::move(unexpected);
@@ -195,7 +210,7 @@
       return;  // likely ours: the answer names it
   ctx_.info("fleet", "machine {} reports and is in no block: adopted", s.machine);
   addresses_[s.machine] = s.address;
-  deal(s.machine, {{s.type, s.spot}, s.zone});
+  deal({s.machine}, {{s.type, s.spot}, s.zone});
 }
 
 // ---- rentals -------------------------------------------------------------------------------
@@ -207,14 +222,14 @@
 
 int Fleet::held(const Offer& offer) const {
   int n = 0;
-  auto count = [&](const std::map<std::string, Machine>& machines, bool dealt) {
-    for (const auto& [name, m] : machines)
-      if ((dealt || replica_.machine(name) == nullptr) && to_drop_.count(name) == 0 &&
-          m.type == offer.pool.type && m.spot == offer.pool.spot && m.zone == offer.zone)
-        ++n;
+  auto count = [&](const Machine& m) {
+    if (to_drop_.count(m.name) == 0 && m.type == offer.pool.type && m.spot == offer.pool.spot &&
+        m.zone == offer.zone)
+      ++n;
   };
-  count(replica_.machines, true);
-  count(to_deal_, false);
+  for (const auto& [name, m] : replica_.machines) count(m);
+  for (const auto& [name, m] : to_deal_)
+    if (replica_.machine(name) == nullptr) count(m);
   return n;
 }
 
@@ -231,17 +246,11 @@
 
 int Fleet::most(const Offer& offer) const {
   auto it = caps_.find(offer);
-  if (it == caps_.end() || it->second.until <= ctx_.now.steady) return kHireMost;
+  // Nothing was refused lately: as many more as one request can ask for.
+  if (it == caps_.end() || it->second.until <= ctx_.now.steady) return held(offer) + kHireMost;
   return it->second.held;
 }
 
-int Fleet::booting_hires(const Offer& offer) const {
-  int n = 0;
-  for (const auto& [name, h] : hires_)
-    if (h.offer == offer) n += h.count;
-  return n;
-}
-
 void Fleet::rent(const Offer& offer, int count, const std::string& reason, int block) {
   if (count <= 0) return;
   last_rental_[offer] = ctx_.now.steady;
@@ -271,7 +280,7 @@
           const double report = ctx_.settings.platform.report_s;
           if (d.status == 200) {
             if (auto names = parse_rented(d.body)) {
-              for (const auto& n : *names) deal(n, x.offer, x.block);
+              deal(*names, x.offer, x.block);
               if (!names->empty()) caps_.erase(x.offer);
               if (static_cast<int>(names->size()) < x.count) refused(x.offer);
               hires_.erase(it);
@@ -296,8 +305,9 @@
   }
 }
 
-int Fleet::best_block(const Offer& offer) const {
-  std::vector<std::pair<int, int>> load(replica_.leases.size());
+// How many machines each block has: of this kind in this zone, and of all.
+void Fleet::count_blocks(const Offer& offer, std::vector<std::pair<int, int>>& load) const {
+  load.assign(replica_.leases.size(), {});
   auto count = [&](const Machine& m) {
     auto& l = load[static_cast<size_t>(m.block)];
     if (m.type == offer.pool.type && m.spot == offer.pool.spot && m.zone == offer.zone) ++l.first;
@@ -306,45 +316,79 @@
   for (const auto& [n, m] : replica_.machines) count(m);
   for (const auto& [n, m] : to_deal_)
     if (replica_.machine(n) == nullptr) count(m);
-  // Each block spans the zones: the one with the fewest of this kind here, then the smallest.
-  return static_cast<int>(std::min_element(load.begin(), load.end()) - load.begin());
 }
 
-void Fleet::deal(const std::string& name, const Offer& offer, int block) {
-  if (name.empty() || name.size() > 100) return;
-  Machine m;
-  m.name = name;
-  m.type = offer.pool.type;
-  m.zone = offer.zone;
-  m.spot = offer.pool.spot;
-  m.block = block >= 0 ? block : best_block(offer);
-  m.rented = ctx_.now.wall;
-  to_deal_.emplace(name, std::move(m));
+// The first page of a block's list that takes another machine.
+int Fleet::page_with_room(int block) const {
+  const auto& pages = replica_.pages[static_cast<size_t>(block)];
+  std::vector<size_t> used(pages.size());
+  for (size_t p = 0; p < pages.size(); ++p) used[p] = pages[p].names.size();
+  for (const auto& [n, m] : to_deal_) {
+    if (m.block != block || replica_.machine(n) != nullptr) continue;
+    if (used.size() <= static_cast<size_t>(m.page)) used.resize(static_cast<size_t>(m.page) + 1);
+    ++used[static_cast<size_t>(m.page)];
+  }
+  const size_t most = replica_.items_per_value();
+  const auto free = std::find_if(used.begin(), used.end(), [&](size_t n) { return n < most; });
+  return static_cast<int>(free - used.begin());
+}
+
+void Fleet::deal(const std::vector<std::string>& names, const Offer& offer, int block) {
+  std::vector<std::pair<int, int>> load;
+  if (block < 0) count_blocks(offer, load);
+  for (const auto& name : names) {
+    if (name.empty() || name.size() > core::kMaxName || to_deal_.count(name) != 0) continue;
+    Machine m;
+    m.name = name;
+    m.type = offer.pool.type;
+    m.zone = offer.zone;
+    m.spot = offer.pool.spot;
+    m.block = block;
+    if (block < 0) {
+      // Each block spans the zones: the one with the fewest of this kind here, then the smallest.
+      const auto least = std::min_element(load.begin(), load.end());
+      m.block = static_cast<int>(least - load.begin());
+      ++least->first;
+      ++least->second;
+    }
+    m.page = page_with_room(m.block);
+    m.rented = std::floor(ctx_.now.wall);
+    to_deal_.emplace(name, std::move(m));
+  }
 }
 
 void Fleet::write_machines() {
-  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
-    if (writing_.count(b) != 0) continue;
-    std::map<std::string, Machine> block;
-    for (const auto& [n, m] : replica_.machines)
-      if (m.block == b) block.emplace(n, m);
-    bool changed = false;
+  std::set<std::pair<int, int>> changed;
+  for (const auto& [n, m] : to_deal_)
+    if (replica_.machine(n) == nullptr) changed.insert({m.block, m.page});
+  for (const auto& n : to_drop_)
+    if (const Machine* m = replica_.machine(n)) changed.insert({m->block, m->page});
+  for (const auto& at : changed) {
+    if (writing_.count(at) != 0) continue;
+    const auto [b, page] = at;
+    const auto& pages = replica_.pages[static_cast<size_t>(b)];
+    std::map<std::string, Machine> listed;
+    uint64_t stamp = 0;
+    if (static_cast<size_t>(page) < pages.size()) {
+      const auto& known = pages[static_cast<size_t>(page)];
+      stamp = known.stamp;
+      for (const auto& n : known.names) listed.emplace(n, *replica_.machine(n));
+    }
+    for (const auto& n : to_drop_) listed.erase(n);
     for (const auto& [n, m] : to_deal_)
-      if (m.block == b && block.emplace(n, m).second) changed = true;
-    for (const auto& n : to_drop_) changed = block.erase(n) != 0 || changed;
-    if (!changed) continue;
-    auto key = core::machines_key(b);
+      if (m.block == b && m.page == page && listed.size() < replica_.items_per_value())
+        listed.emplace(n, m);
+    auto key = core::machines_key(b, page);
     bool sent = committer_.commit(
-        {{core::kLeaderKey, replica_.leader.stamp},
-         {key, replica_.machine_stamps[static_cast<size_t>(b)]}},
-        {{key, core::encode_machines(block), 0}}, [this, b, key](const state::TxnResult& r) {
+        {{core::kLeaderKey, replica_.leader.stamp}, {key, stamp}},
+        {{key, core::encode_machines(listed), 0}}, [this, at, key](const state::TxnResult& r) {
           if (r.outcome == Outcome::kConflict || r.outcome == Outcome::kUnknown) {
-            committer_.refresh({key}, [this, b] { writing_.erase(b); });
+            committer_.refresh({key}, [this, at] { writing_.erase(at); });
             return;
           }
-          writing_.erase(b);
+          writing_.erase(at);
         });
-    if (sent) writing_.insert(b);
+    if (sent) writing_.insert(at);
   }
   std::erase_if(to_deal_, [&](const auto& d) { return replica_.machine(d.first) != nullptr; });
   std::erase_if(to_drop_, [&](const auto& n) { return replica_.machine(n) == nullptr; });
@@ -383,27 +427,29 @@
 bool Fleet::may_release_silent(const std::string& name) {
   const double now = ctx_.now.steady;
   const auto& p = ctx_.settings.platform;
-  if (replica_cpus(name) <= 0 || releasing_.count(name) != 0) return true;
+  if (replica_.load(name).replica_cpus <= 0 || releasing_.count(name) != 0) return true;
   const double since = silent_since_.emplace(name, now).first->second;
   if (now < next_silent_release_ && now - since < kSilentLease * p.lease_s) return false;
   next_silent_release_ = now + kSilentPauseReports * p.report_s;
   return true;
 }
 
-void Fleet::judge(const std::map<std::string, net::MachineView>& views,
-                  const std::set<int>& suspect_blocks) {
+void Fleet::judge(const net::ViewMap& views, const std::set<int>& suspect_blocks) {
   for (const auto& [name, m] : replica_.machines) {
     if (to_drop_.count(name) != 0) continue;
-    auto type = replica_.types.find(m.type);
-    const double boot =
-        type != replica_.types.end() ? type->second.boot_s : ctx_.settings.platform.lease_s;
-    const double age = ctx_.now.wall - m.rented;
     auto it = views.find(name);
     if (it == views.end()) continue;  // its holder says nothing: nothing is known
     const auto& v = it->second;
-    if (!v.up && v.tasks == 0 && age > kFailedBoot * boot)
-      release(name, "never came up");
-    else if (v.silent && suspect_blocks.count(m.block) == 0 && may_release_silent(name))
+    if (!v.up && v.tasks == 0) {
+      auto type = replica_.types.find(m.type);
+      const double boot =
+          type != replica_.types.end() ? type->second.boot_s : ctx_.settings.platform.lease_s;
+      if (ctx_.now.wall - m.rented > kFailedBoot * boot) {
+        release(name, "never came up");
+        continue;
+      }
+    }
+    if (v.silent && suspect_blocks.count(m.block) == 0 && may_release_silent(name))
       release(name, "silent");
     else if (v.bad)
       release(name, "fails every task");
@@ -416,73 +462,60 @@
 
 // ---- policy --------------------------------------------------------------------------------
 
-// Cores on ordinary machines of a zone, up or about to be, that no replica uses. Lower work there
-// makes room for replicas.
-double Fleet::zone_room(const std::string& zone, const std::string& without,
-                        const std::map<std::string, net::MachineView>& views) const {
-  double room = 0;
+// The rule sizes a type as a whole, while a spread job needs room in a second zone (a few replicas'
+// worth in each), and the replicas of a lost machine need room at once (what the fullest machine
+// has, in all zones together). Lower work there makes room for replicas.
+void Fleet::sum_zones(const net::ViewMap& views) {
+  zones_.clear();
+  for (const auto& [name, t] : replica_.types)
+    for (const auto& z : t.zones) zones_[z];
+  Zone& all = zones_[""];
+  std::map<std::string, double> largest;
+  double fullest = 0;
   for (const auto& [name, m] : replica_.machines) {
-    if (m.spot || (!zone.empty() && m.zone != zone) || name == without || drain_.count(name) != 0 ||
-        to_drop_.count(name) != 0 || releasing_.count(name) != 0)
-      continue;
+    if (m.spot) continue;
+    const auto& load = replica_.load(name);
+    fullest = std::max(fullest, load.replica_cpus);
+    if (load.replica_cpus > 0)
+      for (const auto& ref : load.tasks) {
+        const JobSpec& s = replica_.job(ref.job)->spec;
+        if (s.shape != core::Shape::kService) continue;
+        double& most = largest[m.zone];
+        most = std::max(most, s.cpus);
+      }
+    if (drain_.count(name) != 0 || leaving(name)) continue;
     auto v = views.find(name);
     auto type = replica_.types.find(m.type);
     if (v == views.end() || type == replica_.types.end() || v->second.silent || v->second.bad)
       continue;
-    room += type->second.cpus - replica_cpus(name);
+    const double room = type->second.cpus - load.replica_cpus;
+    zones_[m.zone].room += room;
+    all.room += room;
   }
   for (const auto& [name, h] : hires_) {
     auto type = replica_.types.find(h.offer.pool.type);
-    if (!h.offer.pool.spot && (zone.empty() || h.offer.zone == zone) &&
-        type != replica_.types.end())
-      room += h.count * type->second.cpus;
+    if (h.offer.pool.spot || type == replica_.types.end()) continue;
+    zones_[h.offer.zone].room += h.count * type->second.cpus;
+    all.room += h.count * type->second.cpus;
   }
-  return room;
+  for (const auto& [zone, cpus] : largest) zones_[zone].floor = kFloorTasks * cpus;
+  all.floor = kFloorMachines * fullest;
 }
 
-double Fleet::replica_cpus(const std::string& machine) const {
-  double used = 0;
-  for (const auto& ref : replica_.placed_on(machine)) {
-    const JobSpec& s = replica_.job(ref.job)->spec;
-    if (s.shape == core::Shape::kService) used += s.cpus;
+bool Fleet::zone_can_spare(const Machine& m) const {
+  auto type = replica_.types.find(m.type);
+  if (type == replica_.types.end()) return false;
+  // The machine's own room goes, and its replicas take room elsewhere: all of its cores.
+  for (const auto& zone : {m.zone, std::string()}) {
+    const Zone& z = zones_.at(zone);
+    if (z.room - type->second.cpus < z.floor) return false;
   }
-  return used;
+  return true;
 }
 
-// What is kept for replicas: the rule sizes a type as a whole, while a spread job needs room in a
-// second zone (a few replicas' worth in each), and the replicas of a lost machine need room at once
-// (what the fullest machine has, in all zones together: zone empty).
-double Fleet::zone_floor(const std::string& zone) const {
-  double largest = 0, most = 0;
-  for (const auto& [name, m] : replica_.machines) {
-    if (m.spot || (!zone.empty() && m.zone != zone)) continue;
-    most = std::max(most, replica_cpus(name));
-    for (const auto& ref : replica_.placed_on(name)) {
-      const JobSpec& s = replica_.job(ref.job)->spec;
-      if (s.shape == core::Shape::kService) largest = std::max(largest, s.cpus);
-    }
-  }
-  return zone.empty() ? kFloorMachines * most : kFloorTasks * largest;
-}
-
-bool Fleet::zone_can_spare(const std::string& name,
-                           const std::map<std::string, net::MachineView>& views) const {
-  const Machine* m = replica_.machine(name);
-  auto v = views.find(name);
-  auto type = m != nullptr ? replica_.types.find(m->type) : replica_.types.end();
-  if (v == views.end() || type == replica_.types.end()) return false;
-  const double moved = replica_cpus(name);
-  return zone_room(m->zone, name, views) - moved >= zone_floor(m->zone) &&
-         zone_room("", name, views) - moved >= zone_floor("");
-}
-
-void Fleet::keep_zone_floors(const std::map<std::string, net::MachineView>& views) {
-  std::set<std::string> zones;
-  for (const auto& [name, t] : replica_.types) zones.insert(t.zones.begin(), t.zones.end());
-  zones.insert("");  // all of them together
-  for (const auto& zone : zones) {
-    const double floor = zone_floor(zone);
-    if (floor <= 0 || zone_room(zone, "", views) >= floor) continue;
+void Fleet::keep_zone_floors() {
+  for (const auto& [zone, z] : zones_) {
+    if (z.floor <= 0 || z.room >= z.floor) continue;
     // A machine that was to be given back is kept first.
     auto kept = std::find_if(drain_.begin(), drain_.end(), [&](const std::string& name) {
       const Machine* m = replica_.machine(name);
@@ -495,188 +528,207 @@
       continue;
     }
     Offer best;
-    double best_price = std::numeric_limits<double>::infinity();
+    double best_price = std::numeric_limits<double>::infinity(), size = 0;
     for (const auto& [name, t] : replica_.types)
-      for (const auto& z : t.zones) {
+      for (const auto& in : t.zones) {
         Offer offer;
         offer.pool.type = name;
-        offer.zone = z;
+        offer.zone = in;
         // In one zone the smallest price will do; for all of them it is the room that counts.
         const double price = zone.empty() && t.cpus > 0 ? t.price / t.cpus : t.price;
-        if ((!zone.empty() && z != zone) || !open(offer) || price >= best_price) continue;
+        if ((!zone.empty() && in != zone) || !open(offer) || price >= best_price) continue;
         best_price = price;
         best = offer;
+        size = t.cpus;
       }
-    if (best.zone.empty()) continue;
-    rent(best, 1, zone.empty() ? "little room in all" : "little room in the zone");
+    if (best.zone.empty() || size <= 0) continue;
+    const int count = std::max(1, static_cast<int>((z.floor - z.room) / size));
+    rent(best, count, zone.empty() ? "little room in all" : "little room in the zone");
   }
 }
 
-void Fleet::run_policy(const std::map<std::string, net::MachineView>& views) {
-  const auto& op = ctx_.settings.operators;
-  const auto& p = ctx_.settings.platform;
+void Fleet::run_policy(const net::ViewMap& views) {
   // What a late start costs follows from how rarely the users allow one.
   double miss = 1;
-  for (const auto& o : p.objectives)
+  for (const auto& o : ctx_.settings.platform.objectives)
     if (o.kind == "wait" && o.share < 1) miss = std::max(miss, 1 / (1 - o.share));
-  auto by_pool = pools();
-  for (const auto& [name, type] : replica_.types) {
+  const auto by_pool = pools();
+  static const std::vector<const Machine*> kNone;
+  for (const auto& [name, type] : replica_.types)
     for (bool spot : {false, true}) {
       const Pool pool{name, spot};
-      policy::Demand& d = demand_[pool];
-      policy::SizingInput in;
-      std::vector<std::pair<double, std::string>> given_back;
-      for (const Machine* m : by_pool[pool]) {
-        if (to_drop_.count(m->name) != 0 || releasing_.count(m->name) != 0) continue;
-        auto v = views.find(m->name);
-        if (v != views.end() && (v->second.bad || v->second.silent || v->second.warned)) continue;
-        if (drain_.count(m->name) != 0) continue;
-        ++in.x;
-        if (v == views.end()) continue;
-        in.y += v->second.load;
-        if (v->second.up && ctx_.now.wall - m->rented > kMinimumCharge)
-          given_back.emplace_back(
-              v->second.load * (1 + 0.25 * static_cast<double>(v->second.images.size())), m->name);
-      }
-      // R: what is configured, less where the cloud has shown that it has no more.
-      int ceiling = 0;
-      for (const auto& z : type.zones) ceiling += most({pool, z});
-      ceiling = std::min(op.ceiling, ceiling);
-      in.lambda = d.lambda();
-      in.mu = d.mu();
-      in.ceiling = std::max(ceiling, in.x);
-      in.periods = op.periods;
-      in.c1 = op.planned_cost;
-      in.c2 = op.unplanned_cost * (spot ? 1 : miss);
-      in.h = op.holding_cost;
-      if (in.x == 0 && in.lambda < 1e-6) continue;
-      const auto out = policy::size_fleet(in);
-      ctx_.info("policy",
-                "{} {}: x {} y {:.2f} lambda {:.3f} mu {:.3f} E[y] {:.2f} E[v] {:.3f} u {} cost "
-                "{:.2f} R {}",
-                spot ? "spot" : "ordinary", name, in.x, in.y, in.lambda, in.mu, out.expected_y,
-                out.expected_v, out.u, out.cost, in.ceiling);
-      if (out.u > 0) {
-        std::map<std::string, int> per_zone;
-        for (const Machine* m : by_pool[pool]) ++per_zone[m->zone];
-        std::map<std::string, int> wanted;
-        for (int i = 0; i < out.u; ++i) {
-          std::string best;
-          for (const auto& z : type.zones)
-            if (open({pool, z}) && per_zone[z] < most({pool, z}) &&
-                (best.empty() || per_zone[z] < per_zone[best]))
-              best = z;
-          if (best.empty()) break;
-          ++per_zone[best];
-          ++wanted[best];
-        }
-        for (const auto& [z, n] : wanted) rent({pool, z}, n, "planned");
-      } else if (out.u < 0) {
-        // Idle machines go first, then those with the least on them, which are emptied.
-        // One that holds many images is worth more: what starts there starts at once.
-        std::sort(given_back.begin(), given_back.end());
-        int left = -out.u;
-        for (const auto& [worth, machine] : given_back) {
-          if (left == 0) break;
-          if (!spot && !zone_can_spare(machine, views)) continue;
-          drain_.insert(machine);
-          --left;
-        }
+      auto machines = by_pool.find(pool);
+      size_pool(pool, type, machines == by_pool.end() ? kNone : machines->second, views, miss);
+    }
+}
+
+void Fleet::size_pool(const Pool& pool, const MachineType& type,
+                      const std::vector<const Machine*>& machines, const net::ViewMap& views,
+                      double miss) {
+  const auto& op = ctx_.settings.operators;
+  policy::Demand& d = demand_[pool];
+  policy::SizingInput in;
+  std::vector<std::pair<double, const Machine*>> given_back;
+  std::map<std::string, int> per_zone;
+  for (const Machine* m : machines) {
+    ++per_zone[m->zone];
+    if (leaving(m->name) || drain_.count(m->name) != 0) continue;
+    auto v = views.find(m->name);
+    if (v != views.end() && (v->second.bad || v->second.silent || v->second.warned)) continue;
+    ++in.x;
+    if (v == views.end()) continue;
+    in.y += v->second.load;
+    if (v->second.up && ctx_.now.wall - m->rented > kMinimumCharge)
+      given_back.emplace_back(
+          v->second.load * (1 + 0.25 * static_cast<double>(v->second.images.size())), m);
+  }
+  // R: what may be configured, less where the cloud has shown that it has no more.
+  std::map<std::string, int> at_most;
+  int ceiling = 0;
+  for (const auto& z : type.zones) ceiling += at_most[z] = most({pool, z});
+  if (op.ceiling > 0) ceiling = std::min(op.ceiling, ceiling);
+  in.lambda = d.lambda();
+  in.mu = d.mu();
+  in.ceiling = std::max(ceiling, in.x);
+  in.periods = op.periods;
+  in.c1 = op.planned_cost;
+  in.c2 = op.unplanned_cost * (pool.spot ? 1 : miss);
+  in.h = op.holding_cost;
+  if (in.x == 0 && in.lambda < 1e-6) return;
+  const auto out = policy::size_fleet(in);
+  ctx_.info("policy",
+            "{} {}: x {} y {:.2f} lambda {:.3f} mu {:.3f} E[y] {:.2f} E[v] {:.3f} u {} cost "
+            "{:.2f} R {}",
+            pool.spot ? "spot" : "ordinary", pool.type, in.x, in.y, in.lambda, in.mu,
+            out.expected_y, out.expected_v, out.u, out.cost, in.ceiling);
+  if (out.u > 0) {
+    std::map<std::string, int> wanted;
+    for (int i = 0; i < out.u; ++i) {
+      std::string best;
+      for (const auto& z : type.zones)
+        if (open({pool, z}) && per_zone[z] < at_most[z] && wanted[z] < kHireMost &&
+            (best.empty() || per_zone[z] < per_zone[best]))
+          best = z;
+      if (best.empty()) break;
+      ++per_zone[best];
+      ++wanted[best];
+    }
+    for (const auto& [z, n] : wanted) rent({pool, z}, n, "planned");
+  } else if (out.u < 0) {
+    // Idle machines go first, then those with the least on them, which are emptied.
+    // One that holds many images is worth more: what starts there starts at once.
+    std::sort(given_back.begin(), given_back.end(), [](const auto& a, const auto& b) {
+      return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
+    });
+    int left = -out.u;
+    for (const auto& [worth, machine] : given_back) {
+      if (left == 0) break;
+      if (!pool.spot) {
+        if (!zone_can_spare(*machine)) continue;
+        zones_[machine->zone].room -= type.cpus;
+        zones_[""].room -= type.cpus;
       }
+      drain_.insert(machine->name);
+      --left;
     }
   }
 }
 
 // Where a task of a machine that is being emptied could go at once: its image is there already, so
 // that a move costs a few messages' time.
-bool Fleet::can_move(const Job& job, const Machine& from,
-                     const std::map<std::string, net::MachineView>& views) const {
+bool Fleet::can_move(const Job& job, const Machine& from, const net::ViewMap& views) const {
   const JobSpec& s = job.spec;
   std::map<std::string, uint32_t> zones;
-  if (s.spread)
+  if (s.spread) {
     for (const auto& c : job.chunks)
       for (const auto& t : c.tasks)
         if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine))
           ++zones[m->zone];
-  if (s.spread) --zones[from.zone];
+    --zones[from.zone];
+  }
   for (const auto& [target, v] : views) {
-    const Machine* to = replica_.machine(target);
-    if (to == nullptr || target == from.name || !v.up || v.draining || drain_.count(target) != 0)
+    if (!v.up || v.draining || s.cpus > v.cpus_free || s.memory_gb > v.memory_free ||
+        s.gpus > v.gpus_free)
       continue;
+    const Machine* to = replica_.machine(target);
+    if (to == nullptr || target == from.name || drain_.count(target) != 0) continue;
     if (to->spot && !s.spot) continue;
     if (!s.zone.empty() && to->zone != s.zone) continue;
     if (s.one_zone && to->zone != from.zone) continue;
     if (s.spread && zones[to->zone] >= (s.tasks + 1) / 2) continue;
     if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
       continue;
-    if (s.cpus > v.cpus_free || s.memory_gb > v.memory_free || s.gpus > v.gpus_free) continue;
     if (std::find(v.images.begin(), v.images.end(), s.image) != v.images.end()) return true;
   }
   return false;
 }
 
-// Moves replicas one at a time, so that hardly anybody notices; tasks that save their progress a
-// few at a time. Tasks that would lose their work are left to finish.
-void Fleet::plan_moves(const std::map<std::string, net::MachineView>& views) {
-  int replicas = 0, tasks = 0;
-  for (const auto& name : drain_) {
-    const Machine* from = replica_.machine(name);
+// Moves replicas a few at a time, so that hardly anybody notices; tasks that save their progress
+// likewise. Tasks that would lose their work are left to finish. Machines take turns.
+void Fleet::plan_moves(const net::ViewMap& views) {
+  if (drain_.empty()) return;
+  const auto part = static_cast<int>(kMovedPart * static_cast<double>(replica_.machines.size()));
+  int replicas = 1 + part, tasks = kTasksMoved + part, looks = kMoveLooks;
+  auto at = drain_.upper_bound(last_moved_);
+  for (size_t i = 0; i < drain_.size() && looks > 0 && replicas + tasks > 0; ++i, ++at) {
+    if (at == drain_.end()) at = drain_.begin();
+    last_moved_ = *at;
+    const Machine* from = replica_.machine(*at);
     if (from == nullptr) continue;
-    for (const auto& ref : replica_.placed_on(name)) {
+    for (const auto& ref : replica_.placed_on(*at)) {
       const Job* job = replica_.job(ref.job);
       const JobSpec& s = job->spec;
       if (job->over()) continue;
       const bool service = s.shape == core::Shape::kService;
-      if (service ? replicas >= 1 || job->placed != s.tasks
-                  : tasks >= kTasksMoved || s.checkpoint_s <= 0)
+      int& left = service ? replicas : tasks;
+      if (left <= 0 || looks <= 0 || (service ? job->placed != s.tasks : s.checkpoint_s <= 0))
         continue;
+      --looks;
       if (!can_move(*job, *from, views)) continue;
-      ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), name);
+      ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), *at);
       moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt});
-      ++(service ? replicas : tasks);
+      --left;
     }
   }
 }
 
-void Fleet::rent_for_waiting(const std::map<std::string, net::MachineView>& views,
-                             const std::vector<Waiting>& waiting) {
-  struct Room {
-    const MachineType* type;
-    std::string zone;
-    bool spot;
-    double cpus, gpus, memory;
-    int block;
+std::vector<Fleet::Space> Fleet::spaces(const net::ViewMap& views) const {
+  std::vector<Space> out;
+  auto whole = [&](const MachineType& t, const std::string& zone, bool spot, int block) {
+    out.push_back({&t, zone, spot, t.cpus, t.gpus, t.memory_gb, block});
   };
-  std::vector<Room> rooms;
   for (const auto& [name, m] : replica_.machines) {
     auto type = replica_.types.find(m.type);
-    if (type == replica_.types.end() || releasing_.count(name) != 0 || to_drop_.count(name) != 0 ||
-        drain_.count(name) != 0)
-      continue;
+    if (type == replica_.types.end() || leaving(name) || drain_.count(name) != 0) continue;
     auto v = views.find(name);
-    const bool up = v != views.end() && v->second.up;
     const auto& t = type->second;
-    if (up) {
+    if (v != views.end() && v->second.up) {
       if (v->second.cpus_free > 0)
-        rooms.push_back({&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free,
-                         v->second.memory_free, m.block});
+        out.push_back({&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free,
+                       v->second.memory_free, m.block});
     } else if (ctx_.now.wall - m.rented < kLateBoot * t.boot_s) {
-      rooms.push_back({&t, m.zone, m.spot, t.cpus, t.gpus, t.memory_gb, m.block});
+      whole(t, m.zone, m.spot, m.block);
     }
   }
   for (const auto& [name, m] : to_deal_) {
     auto type = replica_.types.find(m.type);
-    if (type == replica_.types.end() || replica_.machine(name) != nullptr) continue;
-    rooms.push_back({&type->second, m.zone, m.spot, type->second.cpus, type->second.gpus,
-                     type->second.memory_gb, m.block});
+    if (type != replica_.types.end() && replica_.machine(name) == nullptr)
+      whole(type->second, m.zone, m.spot, m.block);
   }
   for (const auto& [name, h] : hires_) {
     auto type = replica_.types.find(h.offer.pool.type);
     if (type == replica_.types.end()) continue;
-    for (int i = 0; i < h.count; ++i)
-      rooms.push_back({&type->second, h.offer.zone, h.offer.pool.spot, type->second.cpus,
-                       type->second.gpus, type->second.memory_gb, h.block});
+    for (int i = 0; i < h.count; ++i) whole(type->second, h.offer.zone, h.offer.pool.spot, h.block);
   }
+  return out;
+}
+
+void Fleet::rent_for_waiting(const net::ViewMap& views, const std::vector<Waiting>& waiting) {
+  if (waiting.empty()) return;
+  std::vector<Space> rooms = spaces(views);
+  double least = std::numeric_limits<double>::infinity();
+  for (const auto& w : waiting) least = std::min(least, w.job->spec.cpus);
+  std::erase_if(rooms, [&](const Space& r) { return r.cpus + 1e-9 < least; });
   std::map<Offer, int> wanted, homes;
   const double pause = ctx_.settings.platform.report_s;
   // What waits in all, by whether it may use cheap machines: a machine is chosen to hold that, not
@@ -687,12 +739,13 @@
     const JobSpec& s = w.job->spec;
     std::map<std::string, uint32_t> zones;
     std::string only_zone = s.zone;
-    for (const auto& c : w.job->chunks)
-      for (const auto& t : c.tasks)
-        if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine)) {
-          ++zones[m->zone];
-          if (s.one_zone) only_zone = m->zone;
-        }
+    if (s.spread || s.one_zone)
+      for (const auto& c : w.job->chunks)
+        for (const auto& t : c.tasks)
+          if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine)) {
+            ++zones[m->zone];
+            if (s.one_zone) only_zone = m->zone;
+          }
     // A limit too small to be split lies with one block: only room there is of use.
     int home = -1, granting = 0;
     for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b)
@@ -703,96 +756,115 @@
       }
     if (granting != 1) home = -1;
     auto in_block = [&](int block) { return home < 0 || block == home; };
-    auto fits_zone = [&](const std::string& zone) {
-      if (!only_zone.empty() && zone != only_zone) return false;
-      return !s.spread || zones[zone] < (s.tasks + 1) / 2;
+    // How many more tasks a zone may take.
+    auto zone_left = [&](const std::string& zone) -> uint32_t {
+      if (!only_zone.empty() && zone != only_zone) return 0;
+      if (!s.spread) return s.tasks;
+      const uint32_t most_there = (s.tasks + 1) / 2;
+      return most_there - std::min(zones[zone], most_there);
     };
     auto allowed_type = [&](const std::string& name) {
       return s.types.empty() || std::find(s.types.begin(), s.types.end(), name) != s.types.end();
     };
-    for (uint32_t i = 0; i < w.count; ++i) {
-      Room* found = nullptr;
-      for (auto& r : rooms) {
-        if ((r.spot && !s.spot) || !in_block(r.block) || !fits_zone(r.zone) ||
-            !allowed_type(r.type->name))
-          continue;
-        if (s.cpus > r.cpus + 1e-9 || s.gpus > r.gpus + 1e-9 || s.memory_gb > r.memory + 1e-9)
-          continue;
-        found = &r;
-        break;
+    uint32_t count = w.count;
+    // As many tasks as a space takes, all at once: they are alike.
+    auto fill = [&](Space& r) {
+      if ((r.spot && !s.spot) || !in_block(r.block) || !allowed_type(r.type->name)) return;
+      double n = std::min(count, zone_left(r.zone));
+      auto part = [&](double have, double need) {
+        if (need > 0) n = std::min(n, std::floor((have + 1e-9) / need));
+      };
+      part(r.cpus, s.cpus);
+      part(r.gpus, s.gpus);
+      part(r.memory, s.memory_gb);
+      if (n < 1) return;
+      r.cpus -= n * s.cpus;
+      r.gpus -= n * s.gpus;
+      r.memory -= n * s.memory_gb;
+      count -= static_cast<uint32_t>(n);
+      left[s.spot] -= n;
+      zones[r.zone] += static_cast<uint32_t>(n);
+      if (s.one_zone) only_zone = r.zone;
+    };
+    for (auto& r : rooms) {
+      if (count == 0) break;
+      fill(r);
+    }
+    // A machine that was to be given back is kept instead.
+    for (auto d = drain_.begin(); d != drain_.end() && count > 0;) {
+      const Machine* m = replica_.machine(*d);
+      auto v = views.find(*d);
+      auto type = m != nullptr ? replica_.types.find(m->type) : replica_.types.end();
+      if (v == views.end() || !v->second.up || releasing_.count(*d) != 0 ||
+          type == replica_.types.end() || v->second.load + share(s, type->second) > 1) {
+        ++d;
+        continue;
       }
-      if (found == nullptr) {
-        // A machine that was to be given back is kept instead.
-        for (auto d = drain_.begin(); d != drain_.end(); ++d) {
-          const Machine* m = replica_.machine(*d);
-          auto v = views.find(*d);
-          if (m == nullptr || v == views.end() || !v->second.up || releasing_.count(*d) != 0)
-            continue;
-          auto type = replica_.types.find(m->type);
-          if (type == replica_.types.end() || !in_block(m->block) || (m->spot && !s.spot) ||
-              !fits_zone(m->zone) || !allowed_type(m->type) ||
-              v->second.load + share(s, type->second) > 1)
-            continue;
-          const double rest = 1 - v->second.load;
-          rooms.push_back({&type->second, m->zone, m->spot, type->second.cpus * rest,
-                           type->second.gpus * rest, type->second.memory_gb * rest, m->block});
-          found = &rooms.back();
-          ctx_.info("fleet", "machine {} is kept for waiting tasks", *d);
-          drain_.erase(d);
-          break;
-        }
+      const double rest = 1 - v->second.load;
+      Space kept{&type->second,           m->zone, m->spot,
+                 type->second.cpus * rest, type->second.gpus * rest,
+                 type->second.memory_gb * rest, m->block};
+      const uint32_t before = count;
+      fill(kept);
+      if (count == before) {
+        ++d;
+        continue;
       }
-      if (found == nullptr) {
-        // The cheapest way to hold what still waits of this job.
-        Offer best{};
-        const MachineType* best_type = nullptr;
-        double best_cost = std::numeric_limits<double>::infinity();
-        for (const auto& [name, t] : replica_.types) {
-          if (!allowed_type(name) || s.cpus > t.cpus || s.gpus > t.gpus ||
-              s.memory_gb > t.memory_gb)
-            continue;
-          for (bool spot : {true, false}) {
-            if (spot && !s.spot) continue;
-            for (const auto& z : t.zones) {
-              const Offer offer{{name, spot}, z};
-              if (!fits_zone(z) || !open(offer)) continue;
-              const double slots = std::max(1.0, std::floor(1 / std::max(1e-6, share(s, t))));
-              const double cost = (spot ? t.spot_price : t.price) /
-                                  std::min(slots, 2.0 * left[s.spot]) * (1 + 0.01 * wanted[offer]);
-              if (cost < best_cost) {
-                best_cost = cost;
-                best = offer;
-                best_type = &t;
-              }
+      ctx_.info("fleet", "machine {} is kept for waiting tasks", *d);
+      rooms.push_back(kept);
+      d = drain_.erase(d);
+    }
+    while (count > 0) {
+      // The cheapest way to hold what still waits of this job.
+      Offer best{};
+      const MachineType* best_type = nullptr;
+      double best_cost = std::numeric_limits<double>::infinity();
+      for (const auto& [name, t] : replica_.types) {
+        if (!allowed_type(name) || s.cpus > t.cpus || s.gpus > t.gpus || s.memory_gb > t.memory_gb)
+          continue;
+        for (bool spot : {true, false}) {
+          if (spot && !s.spot) continue;
+          for (const auto& z : t.zones) {
+            const Offer offer{{name, spot}, z};
+            if (zone_left(z) == 0 || !open(offer) || wanted[offer] >= kHiresAhead * kHireMost)
+              continue;
+            const double slots = std::max(1.0, std::floor(1 / std::max(1e-6, share(s, t))));
+            const double cost = (spot ? t.spot_price : t.price) /
+                                std::min(slots, 2.0 * left[s.spot]) * (1 + 0.01 * wanted[offer]);
+            if (cost < best_cost) {
+              best_cost = cost;
+              best = offer;
+              best_type = &t;
             }
           }
         }
-        if (best_type == nullptr) break;
-        ++wanted[best];
-        if (home >= 0) homes[best] = home;
-        rooms.push_back({best_type, best.zone, best.pool.spot, best_type->cpus, best_type->gpus,
-                         best_type->memory_gb, home});
-        found = &rooms.back();
       }
-      left[s.spot] -= 1;
-      found->cpus -= s.cpus;
-      found->gpus -= s.gpus;
-      found->memory -= s.memory_gb;
-      ++zones[found->zone];
-      if (s.one_zone) only_zone = found->zone;
+      if (best_type == nullptr) break;
+      ++wanted[best];
+      if (home >= 0) homes[best] = home;
+      rooms.push_back({best_type, best.zone, best.pool.spot, best_type->cpus, best_type->gpus,
+                       best_type->memory_gb, home});
+      const uint32_t before = count;
+      fill(rooms.back());
+      if (count == before) break;
     }
   }
-  for (const auto& [offer, n] : wanted) {
+  // The largest need first: the cloud takes only so many calls.
+  std::vector<std::pair<int, Offer>> calls;
+  for (const auto& [offer, n] : wanted)
+    if (n > 0) calls.emplace_back(-n, offer);
+  std::sort(calls.begin(), calls.end());
+  for (const auto& [n, offer] : calls) {
     auto last = last_rental_.find(offer);
     // At most one call per type and zone every few seconds.
     if (last != last_rental_.end() && ctx_.now.steady < last->second + pause) continue;
     auto at = homes.find(offer);
-    rent(offer, n, "on demand", at == homes.end() ? -1 : at->second);
+    rent(offer, -n, "on demand", at == homes.end() ? -1 : at->second);
   }
 }
 
-void Fleet::tick(const std::map<std::string, net::MachineView>& views,
-                 const std::vector<Waiting>& waiting, const std::set<int>& suspect_blocks) {
+void Fleet::tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
+                 const std::set<int>& suspect_blocks) {
   if (!active_) return;
   const double now = ctx_.now.steady;
   limit_.refill(now);
@@ -819,8 +891,9 @@
   }
   if (now >= next_period_ && list_seen_) {
     next_period_ = now + ctx_.settings.operators.period_reports * ctx_.settings.platform.report_s;
+    sum_zones(views);
     run_policy(views);
-    keep_zone_floors(views);
+    keep_zone_floors();
     send_hires();
   }
   write_machines();
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -38,12 +38,13 @@
 
   // Every controller measures; a new leader has its figures ready.
   void measure(const std::vector<core::TaskEvent>& events);
-  void observe(const std::map<std::string, net::MachineView>& views);
+  void observe();
   void start_term(uint64_t term);
   void stop();
   // While leading.
-  void tick(const std::map<std::string, net::MachineView>& views,
-            const std::vector<Waiting>& waiting, const std::set<int>& suspect_blocks);
+  bool wants_waiting() const { return active_ && ctx_.now.steady >= next_on_demand_; }
+  void tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
+            const std::set<int>& suspect_blocks);
   void sighted(const net::Sighting& s);
   const std::set<std::string>& draining() const { return drain_; }
   std::vector<net::Move> take_moves() { return std::exchange(moves_, {}); }
@@ -66,34 +67,48 @@
   void on_list();
   void send_hires();
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
-  void deal(const std::string& name, const Offer& offer, int block = -1);
+  void deal(const std::vector<std::string>& names, const Offer& offer, int block = -1);
   void write_machines();
   bool may_release_silent(const std::string& name);
-  void judge(const std::map<std::string, net::MachineView>& views,
-             const std::set<int>& suspect_blocks);
+  void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
   void send_releases();
-  void run_policy(const std::map<std::string, net::MachineView>& views);
-  double zone_room(const std::string& zone, const std::string& without,
-                   const std::map<std::string, net::MachineView>& views) const;
-  double replica_cpus(const std::string& machine) const;
-  double zone_floor(const std::string& zone) const;
-  bool zone_can_spare(const std::string& name,
-                      const std::map<std::string, net::MachineView>& views) const;
-  void keep_zone_floors(const std::map<std::string, net::MachineView>& views);
-  bool can_move(const core::Job& job, const core::Machine& from,
-                const std::map<std::string, net::MachineView>& views) const;
-  void plan_moves(const std::map<std::string, net::MachineView>& views);
-  void rent_for_waiting(const std::map<std::string, net::MachineView>& views,
-                        const std::vector<Waiting>& waiting);
+  // Whether a machine is on its way out, so that it counts no more.
+  bool leaving(const std::string& name) const {
+    return releasing_.count(name) != 0 || to_drop_.count(name) != 0;
+  }
+  void run_policy(const net::ViewMap& views);
+  void size_pool(const Pool& pool, const core::MachineType& type,
+                 const std::vector<const core::Machine*>& machines, const net::ViewMap& views,
+                 double miss);
+  // Room for replicas on ordinary machines by zone, and all together under "".
+  struct Zone {
+    double room = 0;   // cores that no replica uses, on machines up or about to be
+    double floor = 0;  // what is kept of it
+  };
+  void sum_zones(const net::ViewMap& views);
+  bool zone_can_spare(const core::Machine& m) const;
+  void keep_zone_floors();
+  bool can_move(const core::Job& job, const core::Machine& from, const net::ViewMap& views) const;
+  void plan_moves(const net::ViewMap& views);
+  // Room for a task on a machine that is there, on its way or asked for.
+  struct Space {
+    const core::MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+    double cpus = 0, gpus = 0, memory = 0;
+    int block = 0;
+  };
+  std::vector<Space> spaces(const net::ViewMap& views) const;
+  void rent_for_waiting(const net::ViewMap& views, const std::vector<Waiting>& waiting);
   bool open(const Offer& offer) const;
   void refused(const Offer& offer);
   int held(const Offer& offer) const;
   int most(const Offer& offer) const;
   std::map<Pool, std::vector<const core::Machine*>> pools() const;
   double share(const core::JobSpec& spec, const core::MachineType& type) const;
-  int booting_hires(const Offer& offer) const;
-  int best_block(const Offer& offer) const;
+  void count_blocks(const Offer& offer, std::vector<std::pair<int, int>>& load) const;
+  int page_with_room(int block) const;
 
   core::Context& ctx_;
   core::Replica& replica_;
@@ -120,7 +135,9 @@
   std::map<std::string, std::string> addresses_;
   std::vector<ListedMachine> listing_;
   std::map<std::string, int> unexpected_;
-  std::set<int> writing_;
+  std::set<std::pair<int, int>> writing_;  // block and page
+  std::map<std::string, Zone> zones_;
+  std::string last_moved_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
   double next_on_demand_ = 0, next_move_ = 0, next_silent_release_ = 0;
--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 namespace rooksill::core {
 
@@ -13,7 +14,9 @@
   return kPrefix + "t/" + id + "/" + std::to_string(chunk);
 }
 std::string lease_key(int block) { return kPrefix + "l/" + std::to_string(block); }
-std::string machines_key(int block) { return kPrefix + "m/" + std::to_string(block); }
+std::string machines_key(int block, int page) {
+  return kPrefix + "m/" + std::to_string(block) + "/" + std::to_string(page);
+}
 std::string type_key(const std::string& name) { return kPrefix + "c/" + name; }
 
 json encode_spec(const JobSpec& s) {
@@ -65,35 +68,57 @@
   return false;
 }
 
+// Of a job that is done only what its answers need is kept.
 json encode_job(const Job& job) {
-  return json{{"s", encode_spec(job.spec)}, {"t", job.submitted}, {"e", int(job.end)}};
+  if (job.end == JobEnd::kDone) return json{{"e", int(job.end)}, {"n", job.spec.tasks}};
+  return json{{"s", encode_spec(job.spec)},
+              {"t", job.submitted},
+              {"e", int(job.end)},
+              {"k", job.chunk_tasks}};
 }
 
 bool decode_job(const json& v, Job& job) try {
+  const int end = v.at("e").get<int>();
+  if (end < int(JobEnd::kOpen) || end > int(JobEnd::kDone)) return false;
+  job.end = static_cast<JobEnd>(end);
+  if (job.end == JobEnd::kDone) {
+    job.spec.tasks = v.at("n");
+    return true;
+  }
   if (!decode_spec(v.at("s"), job.spec)) return false;
   job.submitted = v.at("t");
-  job.end = static_cast<JobEnd>(v.at("e").get<int>());
-  return true;
+  job.chunk_tasks = v.at("k");
+  return job.chunk_tasks > 0;
 } catch (const json::exception&) {
   return false;
 }
 
+// Machines are named once; a task has its machine's number, 0 for none and -1 once it is done.
 json encode_chunk(const std::vector<TaskState>& tasks) {
-  json a = json::array();
-  for (const auto& t : tasks) a.push_back(json::array({t.machine, t.attempt, t.done ? 1 : 0}));
-  return json{{"a", std::move(a)}};
+  json names = json::array(), places = json::array(), attempts = json::array();
+  std::map<std::string, int> numbers;
+  for (const auto& t : tasks) {
+    int place = t.done ? -1 : 0;
+    if (!t.done && !t.machine.empty()) {
+      auto [it, fresh] = numbers.emplace(t.machine, static_cast<int>(numbers.size()) + 1);
+      if (fresh) names.push_back(t.machine);
+      place = it->second;
+    }
+    places.push_back(place);
+    attempts.push_back(t.attempt);
+  }
+  return json{{"m", std::move(names)}, {"p", std::move(places)}, {"a", std::move(attempts)}};
 }
 
 bool decode_chunk(const json& v, size_t count, std::vector<TaskState>& tasks) try {
-  const json& a = v.at("a");
-  if (!a.is_array() || a.size() != count) return false;
-  tasks.clear();
-  for (const auto& t : a) {
-    TaskState s;
-    s.machine = t.at(0);
-    s.attempt = t.at(1);
-    s.done = t.at(2).get<int>() != 0;
-    tasks.push_back(std::move(s));
+  const json &names = v.at("m"), &places = v.at("p"), &attempts = v.at("a");
+  if (!places.is_array() || places.size() != count || attempts.size() != count) return false;
+  tasks.assign(count, {});
+  for (size_t i = 0; i < count; ++i) {
+    const int place = places[i].get<int>();
+    tasks[i].attempt = attempts[i].get<uint64_t>();
+    tasks[i].done = place < 0;
+    if (place > 0) tasks[i].machine = names.at(static_cast<size_t>(place) - 1);
   }
   return true;
 } catch (const json::exception&) {
@@ -113,24 +138,33 @@
   return false;
 }
 
+// By kind, so that type and zone are written once.
 json encode_machines(const std::map<std::string, Machine>& machines) {
-  json o = json::object();
-  for (const auto& [name, m] : machines)
-    o[name] = json::array({m.type, m.zone, m.spot ? 1 : 0, m.rented});
-  return o;
+  std::map<std::tuple<std::string, std::string, bool>, json> groups;
+  for (const auto& [name, m] : machines) {
+    json& group = groups[{m.type, m.zone, m.spot}];
+    if (group.is_null()) group = json::array();
+    group.push_back(json::array({name, static_cast<int64_t>(m.rented)}));
+  }
+  json out = json::array();
+  for (auto& [kind, members] : groups)
+    out.push_back(json::array({std::get<0>(kind), std::get<1>(kind), std::get<2>(kind) ? 1 : 0,
+                               std::move(members)}));
+  return json{{"g", std::move(out)}};
 }
 
-bool decode_machines(const json& v, int block, std::map<std::string, Machine>& machines) try {
+bool decode_machines(const json& v, std::map<std::string, Machine>& machines) try {
   machines.clear();
-  for (const auto& [name, a] : v.items()) {
+  for (const auto& group : v.at("g")) {
     Machine m;
-    m.name = name;
-    m.type = a.at(0);
-    m.zone = a.at(1);
-    m.spot = a.at(2).get<int>() != 0;
-    m.rented = a.at(3);
-    m.block = block;
-    machines[name] = std::move(m);
+    m.type = group.at(0);
+    m.zone = group.at(1);
+    m.spot = group.at(2).get<int>() != 0;
+    for (const auto& a : group.at(3)) {
+      m.name = a.at(0);
+      m.rented = static_cast<double>(a.at(1).get<int64_t>());
+      machines[m.name] = m;
+    }
   }
   return true;
 } catch (const json::exception&) {
--- a/src/rooksill/core/codec.h
+++ b/src/rooksill/core/codec.h
@@ -14,7 +14,7 @@
 std::string job_key(const std::string& id);
 std::string chunk_key(const std::string& id, uint32_t chunk);
 std::string lease_key(int block);
-std::string machines_key(int block);
+std::string machines_key(int block, int page);
 std::string type_key(const std::string& name);
 inline const std::string kLeaderKey = "rk/lead";
 inline const std::string kTermKey = "rk/term";
@@ -26,7 +26,7 @@
 nlohmann::json encode_lease(const BlockLease& lease);
 bool decode_lease(const nlohmann::json& v, BlockLease& lease);
 nlohmann::json encode_machines(const std::map<std::string, Machine>& machines);
-bool decode_machines(const nlohmann::json& v, int block, std::map<std::string, Machine>& machines);
+bool decode_machines(const nlohmann::json& v, std::map<std::string, Machine>& machines);
 nlohmann::json encode_type(const MachineType& type);
 bool decode_type(const nlohmann::json& v, MachineType& type);
 
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -9,11 +9,12 @@
 namespace {
 constexpr double kBeatsPerReport = 10;
 constexpr double kLeaderTick = 0.1;
+constexpr size_t kViewsPerMessage = 200;
 }  // namespace
 
 Core::Core(const Settings& settings, uint64_t seed, double wall, bool debug)
     : ctx_(settings, seed),
-      replica_(settings.platform.controllers),
+      replica_(settings.platform),
       client_(settings.platform,
               [this](std::string method, std::string path, std::string body, double timeout,
                      CallHandler handler) {
@@ -23,7 +24,7 @@
       committer_(ctx_, replica_, client_),
       syncer_(ctx_, replica_, client_),
       peers_(ctx_),
-      holder_(ctx_, replica_, committer_),
+      holder_(ctx_, replica_, client_, committer_),
       fleet_(ctx_, replica_, committer_),
       leader_(ctx_, replica_, client_, committer_, peers_, holder_, fleet_),
       users_(ctx_, replica_, client_, committer_) {
@@ -67,14 +68,23 @@
     case net::PeerKind::kBeat: {
       net::Beat beat;
       if (!net::unpack(e->payload, beat)) return;
-      for (const auto& v : beat.machines) holder_.note_address(v.name, v.address);
+      for (const auto& a : beat.addresses) holder_.note_address(a.machine, a.address);
       peers_.all()[e->label].beat = std::move(beat);
       return;
     }
+    case net::PeerKind::kViews: {
+      net::Views v;
+      if (net::unpack(e->payload, v)) take_views(e->label, std::move(v.machines));
+      return;
+    }
     case net::PeerKind::kUpdates: {
       net::Updates u;
       if (!replica_.synced || !net::unpack(e->payload, u)) return;
       for (const auto& x : u.items) {
+        if (x.value.empty()) {
+          replica_.remove(x.key, x.stamp);
+          continue;
+        }
         json value = json::parse(x.value, nullptr, false);
         if (!value.is_discarded()) replica_.apply(x.key, value, x.stamp);
       }
@@ -83,7 +93,6 @@
     case net::PeerKind::kRoutes: {
       net::Routes r;
       if (net::unpack(e->payload, r)) holder_.routes(r);
-      routed_dirty_ = true;
       return;
     }
     case net::PeerKind::kSighting: {
@@ -97,20 +106,46 @@
   }
 }
 
-std::map<std::string, net::MachineView> Core::views() {
-  std::map<std::string, net::MachineView> out;
-  auto take = [&](const std::string& label, const std::vector<net::MachineView>& machines) {
-    for (const auto& v : machines) {
-      const Machine* m = replica_.machine(v.name);
-      // Only the block's holder speaks for it.
-      if (m != nullptr && replica_.leases[static_cast<size_t>(m->block)].holder == label)
-        out[v.name] = v;
-    }
-  };
-  take(ctx_.settings.platform.label, holder_.views());
-  for (const auto& [label, p] : peers_.all())
-    if (peers_.alive(label)) take(label, p.beat.machines);
-  return out;
+void Core::take_views(const std::string& label, std::vector<net::MachineView> machines) {
+  for (auto& v : machines) {
+    const Machine* m = replica_.machine(v.name);
+    // Only the block's holder speaks for it.
+    if (m == nullptr || replica_.leases[static_cast<size_t>(m->block)].holder != label) continue;
+    told_by_[v.name] = label;
+    const std::string name = v.name;
+    views_[name] = std::move(v);
+  }
+}
+
+// What a former holder said, and what was said of machines that are gone, counts no more.
+void Core::forget_views() {
+  std::erase_if(told_by_, [&](const auto& t) {
+    const Machine* m = replica_.machine(t.first);
+    if (m != nullptr && replica_.leases[static_cast<size_t>(m->block)].holder == t.second)
+      return false;
+    views_.erase(t.first);
+    return true;
+  });
+}
+
+// Holders tell the leader of their machines: all of them to a new one, then what changes.
+void Core::tell_views() {
+  const Leadership& l = replica_.leader;
+  if (l.label.empty()) return;
+  const bool fresh = l.stamp != told_to_.stamp;
+  auto views = holder_.take_views(fresh);
+  told_to_ = l;
+  if (views.empty()) return;
+  if (l.label == ctx_.settings.platform.label) return take_views(l.label, std::move(views));
+  net::Views message;
+  for (auto& v : views) {
+    message.machines.push_back(std::move(v));
+    if (message.machines.size() < kViewsPerMessage) continue;
+    peers_.send(l.label, net::PeerKind::kViews, net::pack(message));
+    message.machines.clear();
+  }
+  if (!message.machines.empty())
+    peers_.send(l.label, net::PeerKind::kViews, net::pack(message));
 }
 
 void Core::send_beat() {
@@ -120,8 +155,7 @@
                ctx_.now.steady - client_.last_answer() < ctx_.settings.platform.report_s / 2;
   b.suspects_itself = holder_.suspects_itself();
   b.term = leader_.term();
-  b.blocks = holder_.blocks();
-  b.machines = holder_.views();
+  b.addresses = holder_.take_addresses();
   peers_.broadcast(net::PeerKind::kBeat, net::pack(b));
 }
 
@@ -130,18 +164,21 @@
   syncer_.tick();
   committer_.tick();
   holder_.tick();
-  const bool beat = ctx_.now.steady >= next_beat_;
-  const bool lead = ctx_.now.steady >= next_leader_;
-  if (beat) {
-    next_beat_ = ctx_.now.steady + ctx_.settings.platform.report_s / kBeatsPerReport;
+  const double now = ctx_.now.steady;
+  if (now >= next_scan_) {
+    next_scan_ = now + kTick * 0.9;
+    holder_.scan();
+  }
+  if (now >= next_beat_) {
+    next_beat_ = now + ctx_.settings.platform.report_s / kBeatsPerReport;
     send_beat();
+    tell_views();
   }
-  if (lead) {
-    next_leader_ = ctx_.now.steady + kLeaderTick;
-    routed_dirty_ = true;
-    auto v = views();
-    fleet_.observe(v);
-    leader_.tick(v);
+  if (now >= next_leader_) {
+    next_leader_ = now + kLeaderTick;
+    forget_views();
+    fleet_.observe();
+    leader_.tick(views_);
     for (const auto& [name, address] : fleet_.take_addresses()) holder_.note_address(name, address);
   }
 }
@@ -162,6 +199,7 @@
       on_peer(*m);
     } else if (const auto* l = std::get_if<PeerLost>(&c)) {
       peers_.lost(l->label);
+      if (l->label == told_to_.label) told_to_ = {};  // what was told may not have arrived
     }
   }
   for (const Request* r : users) on_request(*r);
@@ -180,14 +218,16 @@
       for (uint32_t c = 0; j != nullptr && c < j->chunks.size(); ++c) holder_.route_here({id, c});
     }
   }
-  if (!replica_.touched_jobs.empty() || routed_dirty_) {
-    if (leader_.leading()) leader_.route_now(views());
-    holder_.place();
+  if (!replica_.touched_jobs.empty()) {
+    holder_.want_place();
+    leader_.route_now();
   }
-  routed_dirty_ = false;
   fleet_.measure(replica_.events);
   replica_.events.clear();
   replica_.touched_jobs.clear();
+  holder_.look();
+  replica_.touched_machines.clear();
+  holder_.place();
   holder_.flush();
   holder_.push();
   users_.flush();
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -28,14 +28,15 @@
   bool ready() const;
   bool leading() const { return leader_.leading(); }
   const Replica& replica() const { return replica_; }
-  const Holder& holder() const { return holder_; }
 
  private:
   void on_request(const Request& r);
   void on_peer(const PeerMessage& m);
   void tick();
   void send_beat();
-  std::map<std::string, net::MachineView> views();
+  void tell_views();
+  void take_views(const std::string& label, std::vector<net::MachineView> machines);
+  void forget_views();
 
   Context ctx_;
   Replica replica_;
@@ -47,8 +48,11 @@
   cloud::Fleet fleet_;
   Leader leader_;
   api::Users users_;
-  double next_beat_ = 0, next_leader_ = 0;
-  bool routed_dirty_ = true;
+  // What holders say of their machines; gathered by the leader.
+  net::ViewMap views_;
+  std::unordered_map<std::string, std::string> told_by_;  // machine -> label
+  Leadership told_to_;  // the leader that all views of this node were told to
+  double next_beat_ = 0, next_leader_ = 0, next_scan_ = 0;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -15,20 +15,28 @@
 namespace {
 constexpr int kMaxInFlight = 2;
 constexpr double kBackoff = 0.15;        // after the state refused
-constexpr double kProbeReports = 1.15;   // silence, in reports, after which a machine is asked
 constexpr int kProbes = 2;               // unanswered ones that make a machine silent
 constexpr double kCommandReports = 0.5;  // patience with a direct command, in reports
 constexpr int kSuspectJob = 3;           // machines a job must fail on to be suspected itself
 constexpr int kSuspectMachine = 3;       // failures in a row that make a machine suspect
 constexpr double kMaxBackoffReports = 10;
+constexpr size_t kMaxOrders = 64;   // in one command
+constexpr size_t kTurns = 16;       // calls in which all views and addresses are told again
+constexpr double kDeferReports = 1;  // results that complete nothing are gathered for so long
+constexpr double kTxnShare = 0.6;    // part of a second's writes that one transaction may take
+// Parts of the writes left to others: by decisions to results, by gathered results to both.
+constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
+constexpr int kGathered = 5;  // rank of results that complete nothing
 }  // namespace
 
-Holder::Holder(Context& ctx, Replica& replica, state::Committer& committer)
-    : ctx_(ctx), replica_(replica), committer_(committer) {}
+bool Worker::has_image(int image) const {
+  return std::any_of(images.begin(), images.end(), [&](const auto& i) { return i.first == image; });
+}
 
-bool Holder::holds(int block) const { return held_.count(block) != 0; }
+Holder::Holder(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer)
+    : ctx_(ctx), replica_(replica), client_(client), committer_(committer) {}
 
-std::vector<int> Holder::blocks() const { return {held_.begin(), held_.end()}; }
+bool Holder::holds(int block) const { return held_.count(block) != 0; }
 
 bool Holder::backing_off(const std::string& job) const {
   auto it = troubles_.find(job);
@@ -37,14 +45,35 @@
 
 std::optional<net::Sighting> Holder::take_sighting() { return std::exchange(sighting_, {}); }
 
+// Whatever concerns this worker is looked at once more at the end of the batch.
+void Holder::attend(Worker& w) {
+  w.room_stale = w.view_stale = true;
+  w.settled = false;
+  if (w.attention) return;
+  w.attention = true;
+  attention_.push_back(w.name);
+}
+
 // ---- leases --------------------------------------------------------------------------------
 
 void Holder::activate(int block) {
   held_.insert(block);
   const BlockLease& lease = replica_.leases[static_cast<size_t>(block)];
   ctx_.info("holder", "block {} taken, token {}", block, lease.token);
-  for (auto it = workers_.begin(); it != workers_.end();)
-    it = it->second.block == block ? workers_.erase(it) : std::next(it);
+  drop_workers(block);
+  for (const auto& page : replica_.pages[static_cast<size_t>(block)])
+    replica_.touched_machines.insert(page.names.begin(), page.names.end());
+}
+
+void Holder::drop_workers(int block) {
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    if (it->second.block == block) {
+      forget_room(it->second);
+      it = workers_.erase(it);
+    } else {
+      ++it;
+    }
+  }
 }
 
 void Holder::tick() {
@@ -59,36 +88,59 @@
     } else if (!mine && holds(b)) {
       ctx_.info("holder", "block {} given up, now with {}", b, lease.holder);
       held_.erase(b);
-      for (auto it = workers_.begin(); it != workers_.end();)
-        it = it->second.block == b ? workers_.erase(it) : std::next(it);
+      drop_workers(b);
     }
   }
-  for (const auto& [name, m] : replica_.machines) {
-    if (!holds(m.block) || workers_.count(name) != 0) continue;
+}
+
+// What a batch changed in the state concerns the machines it names, and no others.
+void Holder::look() {
+  for (const auto& name : replica_.touched_machines) {
+    const Machine* m = replica_.machine(name);
+    auto it = workers_.find(name);
+    if (it != workers_.end()) {
+      if (m == nullptr) {
+        forget_room(it->second);
+        workers_.erase(it);
+      } else {
+        attend(it->second);
+      }
+      continue;
+    }
+    if (m == nullptr) {
+      addresses_.erase(name);
+      continue;
+    }
+    if (!holds(m->block)) continue;
     Worker w;
     w.name = name;
-    w.block = m.block;
-    w.token = replica_.leases[static_cast<size_t>(m.block)].token << kTokenShift;
+    w.block = m->block;
+    w.token = replica_.leases[static_cast<size_t>(m->block)].token << kTokenShift;
     w.dirty = w.token - 1;  // any former holder's command may still be under way
     w.last_heard = w.activated = ctx_.now.steady;
     auto a = addresses_.find(name);
     if (a != addresses_.end()) w.address = a->second;
-    workers_.emplace(name, std::move(w));
+    attend(workers_.emplace(name, std::move(w)).first->second);
   }
+}
+
+// Now and then: what only time changes.
+void Holder::scan() {
+  const double report = ctx_.settings.platform.report_s;
+  const double silence = ctx_.settings.operators.machine_silence_reports * report;
   size_t up = 0, silent = 0;
-  for (auto it = workers_.begin(); it != workers_.end();) {
-    Worker& w = it->second;
-    if (replica_.machine_gone(w.name)) {
-      it = workers_.erase(it);
-      continue;
-    }
+  for (auto& [name, w] : workers_) {
     probe(w);
     const double age = ctx_.now.steady - w.last_heard;
-    if (w.reported || !replica_.placed_on(w.name).empty()) {
-      ++up;
-      if (w.probe_failed && age > kProbeReports * ctx_.settings.platform.report_s) ++silent;
+    const bool expected = w.reported || !replica_.placed_on(name).empty();
+    const bool late = expected && w.probe_failed && age > kProbeReports * report;
+    if (expected) ++up;
+    if (late) ++silent;
+    const bool is_silent = late && (age > silence || w.notice_until);
+    if (is_silent != w.silent) {
+      w.silent = is_silent;
+      w.view_stale = true;
     }
-    ++it;
   }
   // One silent machine is its own trouble; nearly all of them at once are likelier ours.
   const bool suspects = silent >= 2 && silent * 10 >= up * 8;
@@ -99,6 +151,7 @@
     const TaskState* t = replica_.task(e.first);
     return t == nullptr || t->machine.empty() || t->attempt != e.second;
   });
+  if (!routed_.empty()) place_wanted_ = true;
 }
 
 void Holder::probe(Worker& w) {
@@ -133,9 +186,13 @@
 
 void Holder::note_address(const std::string& machine, const std::string& address) {
   if (address.empty()) return;
-  addresses_[machine] = address;
+  std::string& known = addresses_[machine];
+  if (known == address) return;
+  known = address;
   auto it = workers_.find(machine);
-  if (it != workers_.end() && it->second.address.empty()) it->second.address = address;
+  if (it == workers_.end()) return;
+  it->second.address = address;
+  if (fresh_addresses_.size() <= workers_.size()) fresh_addresses_.push_back({machine, address});
 }
 
 void Holder::report(uint64_t request, const std::string& body) {
@@ -168,7 +225,8 @@
   reconcile(w, &orders);
   // Starts go out as direct commands only: an answer that arrives late could start what has been
   // moved since.
-  std::erase_if(orders, [](const Order& o) { return o.op == Order::Op::kStart; });
+  // What is left for a command of its own are starts.
+  w.settled = std::erase_if(orders, [](const Order& o) { return o.op == Order::Op::kStart; }) == 0;
   ctx_.reply(request, 200, worker::encode_answer(w.token, orders));
 }
 
@@ -191,7 +249,8 @@
     ctx_.info("holder", "machine {} will be taken in {:.1f} s", w.name, *r.notice_s);
   }
   note_images(w);
-  reconcile(w, nullptr);
+  attend(w);
+  place_wanted_ = true;
 }
 
 void Holder::note_images(Worker& w) {
@@ -201,11 +260,11 @@
     const Job* j = replica_.job(t.task.job);
     if (j == nullptr) continue;
     auto it = std::find_if(w.images.begin(), w.images.end(),
-                           [&](const auto& i) { return i.first == j->spec.image; });
+                           [&](const auto& i) { return i.first == j->image; });
     if (it != w.images.end()) {
       w.images.splice(w.images.begin(), w.images, it);
     } else {
-      w.images.emplace_front(j->spec.image, j->spec.image_gb);
+      w.images.emplace_front(j->image, j->spec.image_gb);
       w.image_gb += j->spec.image_gb;
     }
   }
@@ -346,15 +405,65 @@
 // ---- changes of state ----------------------------------------------------------------------
 
 bool Holder::changing(const TaskRef& task) const {
-  auto it = work_.find({task.job, task.index / kChunkTasks});
+  const Job* job = replica_.job(task.job);
+  if (job == nullptr) return false;
+  auto it = work_.find({task.job, task.index / job->chunk_tasks});
   if (it == work_.end()) return false;
-  const uint32_t i = task.index % kChunkTasks;
+  const uint32_t i = task.index % job->chunk_tasks;
   return it->second.waiting.count(i) != 0 || it->second.sent.count(i) != 0;
 }
 
 void Holder::change(const TaskRef& task, Change c) {
-  work_[{task.job, task.index / kChunkTasks}].waiting.insert(
-      {task.index % kChunkTasks, std::move(c)});
+  const Job* job = replica_.job(task.job);
+  if (job == nullptr) return;
+  auto w = workers_.find(c.machine);
+  if (w != workers_.end()) {
+    w->second.room_stale = w->second.view_stale = true;
+    if (c.kind == Change::Kind::kPlace) w->second.placing.insert(task);
+  }
+  const ChunkId id{task.job, task.index / job->chunk_tasks};
+  ChunkWork& work = work_[id];
+  if (work.waiting.empty()) work.since = ctx_.now.steady;
+  work.waiting.insert({task.index % job->chunk_tasks, std::move(c)});
+  if (!work.busy) queue(id, work);
+}
+
+// A change that is not to be written any more, or has been.
+void Holder::drop_change(const ChunkId& id, uint32_t index, const Change& c) {
+  auto w = workers_.find(c.machine);
+  if (w == workers_.end()) return;
+  const Job* job = replica_.job(id.first);
+  if (job != nullptr) w->second.placing.erase({id.first, id.second * job->chunk_tasks + index});
+  attend(w->second);
+  place_wanted_ = true;
+}
+
+void Holder::queue(const ChunkId& id, ChunkWork& work) {
+  unqueue(id, work);
+  const Job* job = replica_.job(id.first);
+  if (job == nullptr || work.waiting.empty()) return;
+  uint32_t done = job->done;
+  bool lost = false, places = false, leaving = false;
+  for (const auto& [i, c] : work.waiting) {
+    done += c.kind == Change::Kind::kDone ? 1 : 0;
+    lost = lost || c.kind == Change::Kind::kLost;
+    places = places || c.kind == Change::Kind::kPlace;
+    // The result would be lost with the machine.
+    auto w = workers_.find(c.machine);
+    leaving = leaving || (w != workers_.end() && w->second.notice_until);
+  }
+  int rank = kGathered;
+  if (lost || leaving || done >= job->spec.tasks)
+    rank = 0;
+  else if (places)
+    rank = 1 + static_cast<int>(Priority::kProd) - static_cast<int>(job->spec.priority);
+  work.queued = Rank{rank, work.since};
+  queue_.insert({*work.queued, id});
+}
+
+void Holder::unqueue(const ChunkId& id, ChunkWork& work) {
+  if (work.queued) queue_.erase({*work.queued, id});
+  work.queued.reset();
 }
 
 // The revisions that a placement depends on: its block's lease and, where a job's tasks depend on
@@ -367,11 +476,15 @@
   return newest;
 }
 
-bool Holder::apply_change(const Job& job, TaskState& s, const Change& c) const {
+bool Holder::apply_change(const Job& job, const Chunk& chunk, TaskState& s,
+                          const Change& c) const {
   if (!holds(c.block)) return false;
   if (c.kind == Change::Kind::kPlace) {
     if (job.over() || !replica_.waits(s) || s.attempt + 1 != c.attempt) return false;
     if (replica_.machine_gone(c.machine) || c.basis != basis(job, c.block)) return false;
+    // Taken from a machine that is in no list: only if the lists are known as far as this chunk.
+    // With older lists, a machine just dealt would look gone.
+    if (!s.machine.empty() && !replica_.lists_cover(chunk)) return false;
     s.machine = c.machine;
     s.attempt = c.attempt;
     return true;
@@ -391,120 +504,134 @@
 }
 
 void Holder::flush_group() {
-  if (in_flight_ >= kMaxInFlight || ctx_.now.steady < backoff_until_) return;
+  if (in_flight_ >= kMaxInFlight || queue_.empty() || ctx_.now.steady < backoff_until_) return;
   const auto& p = ctx_.settings.platform;
+  const double share = p.state_write_rps / p.controllers;
   const size_t most = std::max<size_t>(
-      2, std::min<size_t>(p.state_txn_ops,
-                          static_cast<size_t>(p.state_write_rps / p.controllers * 0.6)));
+      2, std::min<size_t>(p.state_txn_ops, static_cast<size_t>(share * kTxnShare)));
+  const double gather = kDeferReports * p.report_s;
   std::map<std::string, uint64_t> guards;
   std::vector<state::Write> writes;
   std::vector<ChunkId> chunks;
+  std::vector<std::string> keys;  // to be read back when the outcome is unknown
   size_t bytes = 0;
-  // Results of reports come before decisions.
-  for (int rank = 0; rank < 2; ++rank) {
-    for (auto it = work_.begin(); it != work_.end();) {
-      const ChunkId id = it->first;
-      ChunkWork& work = it->second;
-      if (work.busy) {
-        ++it;
-        continue;
-      }
-      if (work.waiting.empty()) {
-        it = work_.erase(it);
-        continue;
-      }
-      ++it;
-      const bool has_result =
-          std::any_of(work.waiting.begin(), work.waiting.end(),
-                      [](const auto& c) { return c.second.kind != Change::Kind::kPlace; });
-      if (has_result != (rank == 0)) continue;
-      if (writes.size() + 2 > most || bytes > 40 * 1024) break;
-      const Job* job = replica_.job(id.first);
-      if (job == nullptr) {
-        work.waiting.clear();
+  auto may_add = [&](int rank) {
+    const double reserve = rank == 0 ? 0 : rank < kGathered ? kDecisionReserve : kGatheredReserve;
+    return client_.room_for(static_cast<double>(writes.size()) + 1, reserve);
+  };
+  for (auto q = queue_.begin(); q != queue_.end();) {
+    const auto [rank, since] = q->first;
+    const ChunkId id = q->second;
+    if (!may_add(rank) || writes.size() + 2 > most || bytes > 40 * 1024) break;
+    if (rank == kGathered && ctx_.now.steady - since < gather) break;
+    ++q;
+    ChunkWork& work = work_[id];
+    const Job* job = replica_.job(id.first);
+    if (job == nullptr || id.second >= job->chunks.size()) {
+      unqueue(id, work);
+      for (const auto& [i, c] : work.waiting) drop_change(id, i, c);
+      work_.erase(id);
+      continue;
+    }
+    const Chunk& chunk = job->chunks[id.second];
+    std::vector<TaskState> tasks = chunk.tasks;
+    std::map<std::string, uint64_t> extra;
+    bool places = false;
+    for (auto c = work.waiting.begin(); c != work.waiting.end();) {
+      if (!apply_change(*job, chunk, tasks[c->first], c->second)) {
+        const auto dropped = *c;
+        c = work.waiting.erase(c);
+        drop_change(id, dropped.first, dropped.second);
         continue;
       }
-      const Chunk& chunk = job->chunks[id.second];
-      std::vector<TaskState> tasks = chunk.tasks;
-      std::map<std::string, uint64_t> extra;
-      bool places = false;
-      for (auto c = work.waiting.begin(); c != work.waiting.end();) {
-        if (!apply_change(*job, tasks[c->first], c->second)) {
-          c = work.waiting.erase(c);
-          continue;
-        }
-        places = places || c->second.kind == Change::Kind::kPlace;
-        extra[lease_key(c->second.block)] =
-            replica_.leases[static_cast<size_t>(c->second.block)].stamp;
-        // Taken from a machine that is in no block any more, and so gone for certain. The lists
-        // of machines guard that: with an older list, a machine just dealt would look gone.
-        if (c->second.kind == Change::Kind::kPlace && !chunk.tasks[c->first].machine.empty())
-          for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b)
-            extra[machines_key(b)] = replica_.machine_stamps[static_cast<size_t>(b)];
-        ++c;
-      }
-      if (work.waiting.empty()) continue;
-      extra[chunk_key(id.first, id.second)] = chunk.stamp;
-      if (places) {
-        extra[job_key(id.first)] = job->stamp;
-        // Where a task may go depends on where the job's others are, in whatever chunk.
-        if (job->spec.spread || job->spec.one_zone)
-          for (uint32_t c = 0; c < job->chunks.size(); ++c)
-            extra[chunk_key(id.first, c)] = job->chunks[c].stamp;
-      }
-      uint32_t done = job->done - chunk.done;
-      for (const auto& t : tasks) done += t.done ? 1 : 0;
-      const bool finishes = done == job->spec.tasks && !job->over();
-      if (finishes) extra[job_key(id.first)] = job->stamp;
-      size_t fresh = 0;
-      for (const auto& [k, s] : extra) fresh += guards.count(k) == 0 ? 1 : 0;
-      if (guards.size() + fresh > p.state_txn_ops * 4 && !chunks.empty()) continue;
-      guards.insert(extra.begin(), extra.end());
+      places = places || c->second.kind == Change::Kind::kPlace;
+      extra[lease_key(c->second.block)] =
+          replica_.leases[static_cast<size_t>(c->second.block)].stamp;
+      ++c;
+    }
+    if (work.waiting.empty()) {
+      unqueue(id, work);
+      work_.erase(id);
+      continue;
+    }
+    const auto key = chunk_key(id.first, id.second);
+    extra[key] = chunk.stamp;
+    if (places) {
+      extra[job_key(id.first)] = job->stamp;
+      // Where a task may go depends on where the job's others are, in whatever chunk.
+      if (job->spec.spread || job->spec.one_zone)
+        for (uint32_t c = 0; c < job->chunks.size(); ++c)
+          extra[chunk_key(id.first, c)] = job->chunks[c].stamp;
+    }
+    uint32_t done = job->done - chunk.done, on_machines = 0;
+    for (const auto& t : tasks) {
+      done += t.done ? 1 : 0;
+      on_machines += t.machine.empty() ? 0 : 1;
+    }
+    const bool finishes = done == job->spec.tasks && !job->over();
+    // What a job that is over leaves behind is of no use to anybody.
+    const bool last = finishes || (job->over() && on_machines == 0);
+    if (last) extra[job_key(id.first)] = job->stamp;
+    size_t fresh = 0;
+    for (const auto& [k, s] : extra) fresh += guards.count(k) == 0 ? 1 : 0;
+    if (guards.size() + fresh > p.state_txn_ops * 4 && !chunks.empty()) break;
+    guards.insert(extra.begin(), extra.end());
+    keys.push_back(key);
+    if (last) {
+      writes.push_back({key, nullptr, 0});
+    } else {
       auto value = encode_chunk(tasks);
       bytes += value.dump().size() + 200;
-      writes.push_back({chunk_key(id.first, id.second), std::move(value), 0});
-      if (finishes) {
-        Job ended;
-        ended.spec = job->spec;
-        ended.submitted = job->submitted;
-        ended.end = JobEnd::kDone;
-        writes.push_back({job_key(id.first), encode_job(ended), 0});
-      }
-      work.sent = std::move(work.waiting);
-      work.waiting.clear();
-      work.busy = true;
-      chunks.push_back(id);
+      writes.push_back({key, std::move(value), 0});
     }
+    if (finishes) {
+      Job ended;
+      ended.spec.tasks = job->spec.tasks;
+      ended.end = JobEnd::kDone;
+      writes.push_back({job_key(id.first), encode_job(ended), 0});
+      keys.push_back(job_key(id.first));
+    }
+    unqueue(id, work);
+    work.sent = std::move(work.waiting);
+    work.waiting.clear();
+    work.busy = true;
+    chunks.push_back(id);
   }
   if (chunks.empty()) return;
   std::vector<state::Guard> guard_list;
-  std::vector<std::string> keys;
-  for (const auto& [k, s] : guards) {
-    guard_list.push_back({k, s});
-    keys.push_back(k);
-  }
+  for (const auto& [k, s] : guards) guard_list.push_back({k, s});
   bool sent = committer_.commit(std::move(guard_list), std::move(writes),
                                 [this, chunks, keys](const state::TxnResult& r) {
                                   --in_flight_;
                                   settle(chunks, r, keys);
                                 });
-  if (sent) {
+  if (sent)
     ++in_flight_;
-    return;
-  }
+  else
+    send_again(chunks);
+}
+
+void Holder::send_again(const std::vector<ChunkId>& chunks) {
   for (const auto& id : chunks) {
     ChunkWork& work = work_[id];
-    work.waiting.merge(work.sent);
+    // What was decided since stays; what was sent is tried again.
+    for (auto& c : work.sent) work.waiting.insert(c);
     work.sent.clear();
     work.busy = false;
+    queue(id, work);
   }
 }
 
 void Holder::drop_sent(const std::vector<ChunkId>& chunks) {
   for (const auto& id : chunks) {
-    ChunkWork& work = work_[id];
-    work.sent.clear();
-    work.busy = false;
+    auto it = work_.find(id);
+    if (it == work_.end()) continue;
+    for (const auto& [i, c] : std::exchange(it->second.sent, {})) drop_change(id, i, c);
+    it->second.busy = false;
+    if (it->second.waiting.empty())
+      work_.erase(it);
+    else
+      queue(id, it->second);
   }
 }
 
@@ -518,13 +645,7 @@
     case Outcome::kRefused:
     case Outcome::kNoLease:
       backoff_until_ = ctx_.now.steady + kBackoff;
-      for (const auto& id : chunks) {
-        ChunkWork& work = work_[id];
-        // What was decided since stays; what was sent is tried again.
-        for (auto& c : work.sent) work.waiting.insert(c);
-        work.sent.clear();
-        work.busy = false;
-      }
+      send_again(chunks);
       return;
     case Outcome::kConflict:
       ctx_.debug("holder", "transaction of {} chunks failed on {}", chunks.size(),
@@ -543,13 +664,24 @@
 // ---- commands ------------------------------------------------------------------------------
 
 void Holder::push() {
-  for (auto& [name, w] : workers_) {
-    if (w.sending != 0 || w.address.empty() || ctx_.now.steady < w.next_push) continue;
+  std::vector<std::string> names = std::exchange(attention_, {});
+  for (const auto& name : names) {
+    auto it = workers_.find(name);
+    if (it == workers_.end() || !it->second.attention) continue;
+    Worker& w = it->second;
+    w.attention = false;
+    if (w.sending != 0) continue;  // its answer brings attention again
+    if (w.address.empty() || ctx_.now.steady < w.next_push) {
+      w.attention = true;
+      attention_.push_back(name);
+      continue;
+    }
     if (!w.reported) {
       // A block just taken: an empty command shows the worker our token and gets its report.
       send(w, {}, true);
       continue;
     }
+    if (std::exchange(w.settled, false)) continue;
     std::vector<Order> orders;
     reconcile(w, &orders);
     // Forgetting alone is not urgent: the next answer carries it. Before a start it is, since an
@@ -557,7 +689,7 @@
     if (std::none_of(orders.begin(), orders.end(),
                      [](const Order& o) { return o.op != Order::Op::kForget; }))
       continue;
-    if (orders.size() > 64) orders.resize(64);
+    if (orders.size() > kMaxOrders) orders.resize(kMaxOrders);
     send(w, std::move(orders), false);
   }
 }
@@ -578,6 +710,7 @@
         if (it == workers_.end() || it->second.sending != token) return;
         Worker& x = it->second;
         x.sending = 0;
+        attend(x);
         auto r = done.status == 200 || done.status == 409 ? worker::parse_report(done.body)
                                                           : std::nullopt;
         if (r && r->machine == name) {
@@ -604,8 +737,12 @@
   if (r.term < routed_term_) return;
   if (r.full) {
     routed_.clear();
+    for (const auto& name : drain_)
+      if (auto w = workers_.find(name); w != workers_.end()) w->second.view_stale = true;
     drain_.clear();
   }
+  for (const auto& name : r.drain)
+    if (auto w = workers_.find(name); w != workers_.end()) w->second.view_stale = true;
   routed_term_ = r.term;
   for (const auto& x : r.routes) routed_.insert({x.job, x.chunk});
   drain_.insert(r.drain.begin(), r.drain.end());
@@ -613,39 +750,56 @@
     const TaskRef ref{m.job, m.index};
     const TaskState* t = replica_.task(ref);
     if (t == nullptr || t->attempt != m.attempt) continue;
-    if (workers_.count(t->machine) != 0) evicted_[ref] = m.attempt;
+    auto w = workers_.find(t->machine);
+    if (w == workers_.end()) continue;
+    evicted_[ref] = m.attempt;
+    attend(w->second);
   }
+  place_wanted_ = true;
 }
 
-std::vector<net::MachineView> Holder::views() {
+net::MachineView Holder::view(Worker& w) {
+  const Room& room = room_of(w);
+  net::MachineView v;
+  v.name = w.name;
+  v.up = w.reported;
+  v.draining = drain_.count(w.name) != 0;
+  v.silent = w.silent;
+  v.bad = w.bad;
+  v.warned = w.notice_until.has_value();
+  v.cpus_free = open(w) ? room.cpus : 0;
+  v.gpus_free = room.gpus;
+  v.memory_free = room.memory;
+  v.tasks = room.tasks;
+  if (room.type != nullptr && room.type->cpus > 0) {
+    v.load = std::max(1 - room.cpus / room.type->cpus,
+                      room.type->memory_gb > 0 ? 1 - room.memory / room.type->memory_gb : 0);
+  }
+  for (const auto& [image, gb] : w.images) v.images.push_back(replica_.image_name(image));
+  return v;
+}
+
+std::vector<net::MachineView> Holder::take_views(bool all) {
   std::vector<net::MachineView> out;
-  const double report = ctx_.settings.platform.report_s;
-  const double silence = ctx_.settings.operators.machine_silence_reports * report;
-  for (auto& [name, room] : rooms()) {
-    const Worker& w = *room.worker;
-    net::MachineView v;
-    v.name = name;
-    v.address = w.address;
-    v.up = w.reported;
-    v.draining = drain_.count(name) != 0;
-    const double age = ctx_.now.steady - w.last_heard;
-    const bool expected = w.reported || !replica_.placed_on(name).empty();
-    v.silent = expected && w.probe_failed && age > silence;
-    if (w.notice_until && age > kProbeReports * report && w.probe_failed) v.silent = true;
-    v.bad = w.bad;
-    v.warned = w.notice_until.has_value();
-    v.cpus_free = room.open ? room.cpus : 0;
-    v.gpus_free = room.gpus;
-    v.memory_free = room.memory;
-    v.tasks = room.tasks;
-    if (room.type != nullptr && room.type->cpus > 0) {
-      v.load = std::max(1 - room.cpus / room.type->cpus,
-                        room.type->memory_gb > 0 ? 1 - room.memory / room.type->memory_gb : 0);
-    }
-    for (const auto& [image, gb] : w.images) v.images.push_back(image);
+  size_t i = turn_;
+  for (auto& [name, w] : workers_) {
+    const bool turn = ++i % kTurns == 0;
+    if (!all && !turn && !w.view_stale) continue;
+    w.view_stale = false;
+    net::MachineView v = view(w);
+    if (!all && !turn && v == w.told) continue;
+    w.told = v;
     out.push_back(std::move(v));
   }
   return out;
 }
 
+std::vector<net::Address> Holder::take_addresses() {
+  std::vector<net::Address> out = std::exchange(fresh_addresses_, {});
+  size_t i = ++turn_;
+  for (const auto& [name, w] : workers_)
+    if (++i % kTurns == 0 && !w.address.empty()) out.push_back({name, w.address});
+  return out;
+}
+
 }  // namespace rooksill::core
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -1,9 +1,10 @@
 // The holder of blocks: answers its workers' reports, places tasks inside the blocks, stops them.
 #pragma once
 
-#include <deque>
+#include <array>
 #include <list>
 #include <map>
+#include <unordered_map>
 
 #include "rooksill/core/context.h"
 #include "rooksill/core/replica.h"
@@ -15,6 +16,24 @@
 
 using ChunkId = std::pair<std::string, uint32_t>;
 
+inline constexpr double kProbeReports = 1.15;  // silence, in reports, after which one is asked
+
+// What is free on a machine, as its holder sees it. Worked out anew when something there changed.
+struct Room {
+  const MachineType* type = nullptr;
+  int block = 0;
+  bool spot = false;
+  std::string zone;
+  double cpus = 0, gpus = 0, memory = 0;
+  uint32_t tasks = 0;
+  std::vector<int> fetching;  // images on their way there
+  // Cores of tasks by priority, and what those being stopped will leave.
+  std::array<double, 4> cpus_by_priority{};
+  double leaving_cpus = 0, leaving_gpus = 0, leaving_memory = 0;
+  // What each team has here, so that it can be taken back when the room is worked out anew.
+  std::map<std::string, std::pair<double, double>> teams;
+};
+
 // What a holder knows of a machine in one of its blocks.
 struct Worker {
   std::string name, address;
@@ -34,17 +53,23 @@
   std::vector<worker::ReportedTask> tasks;
   std::set<std::pair<TaskRef, uint64_t>> seen;  // attempts that it was seen to have
   std::optional<double> notice_until;
-  std::list<std::pair<std::string, double>> images;  // most recently used first
+  std::list<std::pair<int, double>> images;  // by number, most recently used first
   double image_gb = 0;
   int failures = 0;
   std::set<std::string> failed_jobs;
   bool bad = false;
   double avoid_until = 0;
+  std::set<TaskRef> placing;  // decided and not yet in the state
+  Room room;
+  // attention: to be looked at; settled: its last answer said all there was to say.
+  bool room_stale = true, attention = false, settled = false, view_stale = true, silent = false;
+  net::MachineView told;  // to the leader, last
+  bool has_image(int image) const;
 };
 
 class Holder {
  public:
-  Holder(Context& ctx, Replica& replica, state::Committer& committer);
+  Holder(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer);
 
   // A worker's report; answers it.
   void report(uint64_t request, const std::string& body);
@@ -52,15 +77,19 @@
   void route_here(const ChunkId& chunk) { routed_.insert(chunk); }
   void note_address(const std::string& machine, const std::string& address);
 
-  void tick();   // activates leases, probes
+  void tick();   // takes leases up and gives them up
+  void scan();   // what only time changes: probes, silence
+  void look();   // at what the batch changed
+  void place();  // at most once in a while, if there is reason to
   void flush();  // changes of state, reports' results first
-  void place();
-  void push();  // commands that must be quick
+  void push();   // commands that must be quick
+  void want_place() { place_wanted_ = true; }
 
-  std::vector<net::MachineView> views();
+  // What changed since the last call, and some others in turn; everything if `all`.
+  std::vector<net::MachineView> take_views(bool all);
+  std::vector<net::Address> take_addresses();
   bool holds(int block) const;
   bool suspects_itself() const { return suspects_itself_; }
-  std::vector<int> blocks() const;
   bool backing_off(const std::string& job) const;
   std::optional<net::Sighting> take_sighting();
 
@@ -72,17 +101,32 @@
     int block = 0;       // whose lease guards it
     uint64_t basis = 0;  // of a placement: what it was decided on
   };
+  // In which order changes go out. Results that complete a job and losses first, then decisions by
+  // priority; results that complete nothing wait for writes to spare.
+  using Rank = std::pair<int, double>;
   struct ChunkWork {
     std::map<uint32_t, Change> waiting, sent;
     bool busy = false;
+    std::optional<Rank> queued;
+    double since = 0;
   };
   struct JobTrouble {
     std::set<std::string> machines;
     int failures = 0;
     double retry_at = 0;
   };
+  struct Candidate {
+    const Job* job;
+    uint32_t chunk;
+    double due;
+  };
+  // What a pass of placement found no room for: nothing larger needs to be looked for.
+  struct Unmet {
+    double cpus = 0, gpus = 0, memory = 0;
+  };
 
   void activate(int block);
+  void drop_workers(int block);
   void take_report(Worker& w, const worker::Report& r);
   void reconcile(Worker& w, std::vector<worker::Order>* orders);
   bool trusted(const Worker& w) const;
@@ -90,57 +134,71 @@
   void lost(Worker& w, const worker::ReportedTask& t);
   void note_failure(Worker& w, const std::string& job, uint64_t attempt);
   void note_images(Worker& w);
+  void attend(Worker& w);
+
   void change(const TaskRef& task, Change c);
   bool changing(const TaskRef& task) const;
+  void queue(const ChunkId& id, ChunkWork& work);
+  void unqueue(const ChunkId& id, ChunkWork& work);
+  void drop_change(const ChunkId& id, uint32_t index, const Change& c);
   uint64_t basis(const Job& job, int block) const;
-  bool apply_change(const Job& job, TaskState& state, const Change& c) const;
+  bool apply_change(const Job& job, const Chunk& chunk, TaskState& state, const Change& c) const;
   void flush_group();
   void settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
               std::vector<std::string> keys);
   void drop_sent(const std::vector<ChunkId>& chunks);
+  void send_again(const std::vector<ChunkId>& chunks);
   void probe(Worker& w);
   void send(Worker& w, std::vector<worker::Order> orders, bool even_if_empty);
 
-  struct Room {
-    Worker* worker = nullptr;
-    const Machine* machine = nullptr;
-    const MachineType* type = nullptr;
-    double cpus = 0, gpus = 0, memory = 0;
-    uint32_t tasks = 0;
-    std::set<std::string> fetching;  // images on their way there
-    bool open = false;               // takes new tasks
-  };
-  std::map<std::string, Room> rooms();
-  bool allowed(const JobSpec& s, const Room& r) const;
-  static bool fits(const JobSpec& s, const Room& r);
-  Room* choose(const Job& job, std::map<std::string, Room>& rooms,
-               const std::map<std::string, uint32_t>& zones, const std::string& only_zone);
+  net::MachineView view(Worker& w);
+  const Room& room_of(Worker& w);
+  void work_out_room(Worker& w);
+  void forget_room(Worker& w);
+  bool open(const Worker& w) const;
+  std::vector<Worker*> open_workers();
+  bool allowed(const JobSpec& s, const Worker& w) const;
+  static bool fits(const JobSpec& s, double cpus, double gpus, double memory);
+  uint32_t slots(const JobSpec& s, const Worker& w);
+  double score(const Job& job, const Worker& w) const;
+  double team_grant(const std::string& team, int block, bool gpus);
   bool within_limit(const JobSpec& s, int block);
-  bool preempt(const Job& job, std::map<std::string, Room>& rooms,
-               const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
-               bool only_cached);
-  bool fits_whole(const Job& job, std::map<std::string, Room> rooms,
-                  std::map<std::string, uint32_t> zones, const std::string& only_zone);
+  void place_chunk(const Candidate& c, const std::vector<Worker*>& workers);
+  uint32_t make_room(const Job& job, uint32_t count, const std::vector<Worker*>& workers,
+                     const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
+                     bool only_cached);
+  bool fits_whole(const Job& job, const std::vector<Worker*>& workers,
+                  const std::string& only_zone);
   double reserve(const JobSpec& s, const Room& r) const;
   double due_time(const Job& job) const;
 
   Context& ctx_;
   Replica& replica_;
+  state::Client& client_;
   state::Committer& committer_;
-  std::map<std::string, Worker> workers_;
-  std::map<std::string, std::string> addresses_;
+  std::unordered_map<std::string, Worker> workers_;
+  std::unordered_map<std::string, std::string> addresses_;
+  std::vector<net::Address> fresh_addresses_;
   std::set<int> held_;
   std::map<ChunkId, ChunkWork> work_;
+  std::set<std::pair<Rank, ChunkId>> queue_;
   std::set<ChunkId> routed_;
   uint64_t routed_term_ = 0;
   std::set<std::string> drain_;
-  std::map<std::string, JobTrouble> troubles_;
+  std::unordered_map<std::string, JobTrouble> troubles_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
+  std::map<std::tuple<int, std::string, bool>, double> grants_;
+  std::vector<std::string> attention_;
   std::optional<net::Sighting> sighting_;
+  std::map<int, Unmet> unmet_;
+  std::unordered_map<const Worker*, Unmet> promised_;  // of what is being made free, in a pass
+  double cheapest_ = 1;
+  int evictions_ = 0;
   int in_flight_ = 0;
-  double backoff_until_ = 0;
-  bool suspects_itself_ = false;
+  double backoff_until_ = 0, next_place_ = 0;
+  size_t turn_ = 0;  // of the views and addresses that are told again
+  bool suspects_itself_ = false, place_wanted_ = false;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -1,7 +1,9 @@
 #include "rooksill/core/leader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
+#include <tuple>
 
 #include "rooksill/core/codec.h"
 #include "rooksill/placement/grants.h"
@@ -14,6 +16,8 @@
 namespace {
 constexpr double kSafety = 0.9;        // part of a lease's time that its owner counts on
 constexpr double kRerouteReports = 1;  // how long a chunk waits in a block before another is tried
+constexpr size_t kTurnJobs = 20;         // waiting jobs whose routes are looked at with each tick
+constexpr size_t kTurnsPerReroute = 10;  // or such a part of them
 constexpr double kSettleReports = 2;   // how long a peer must be back before it holds blocks again
 }  // namespace
 
@@ -111,7 +115,9 @@
                 leasing_.clear();
                 finishing_.clear();
                 gave_up_.clear();
-                next_full_routes_ = 0;
+                next_full_routes_ = next_sum_ = 0;
+                fresh_routes_.clear();
+                waiting_since_.clear();
                 ctx_.info("leader", "leading in term {}", term);
                 fleet_.start_term(term);
                 return;
@@ -242,7 +248,7 @@
     const Peer* p = peers_.find(holder);
     const bool suspects = holder == ctx_.settings.platform.label
                               ? holder_.suspects_itself()
-                              : p == nullptr || p->beat.suspects_itself;
+                              : p == nullptr || p->beat.suspects_itself || !peers_.alive(holder);
     auto g = gave_up_.find(b);
     const bool second = g != gave_up_.end() && ctx_.now.steady - g->second < 20 * report;
     if (suspects && !second) out.insert(b);
@@ -252,43 +258,63 @@
 
 // ---- routing -------------------------------------------------------------------------------
 
-int Leader::choose_block(const Job& job, uint32_t chunk,
-                         const std::map<std::string, net::MachineView>& views) {
+void Leader::sum_up(const net::ViewMap& views) {
+  pools_.assign(replica_.leases.size(), {});
+  std::vector<std::map<std::tuple<std::string, std::string, bool>, size_t>> at(pools_.size());
+  for (const auto& [name, v] : views) {
+    const Machine* m = replica_.machine(name);
+    if (m == nullptr || !v.up || v.cpus_free <= 0) continue;
+    auto type = replica_.types.find(m->type);
+    if (type == replica_.types.end()) continue;
+    auto& pools = pools_[static_cast<size_t>(m->block)];
+    auto [it, fresh] =
+        at[static_cast<size_t>(m->block)].try_emplace({m->type, m->zone, m->spot}, pools.size());
+    if (fresh) {
+      pools.emplace_back();
+      pools.back().type = &type->second;
+      pools.back().zone = m->zone;
+      pools.back().spot = m->spot;
+    }
+    Pool& p = pools[it->second];
+    p.cpus += v.cpus_free;
+    p.memory += v.memory_free;
+    p.gpus += v.gpus_free;
+    for (const auto& image : v.images) p.cached[image] += v.cpus_free;
+  }
+}
+
+int Leader::choose_block(const Job& job, uint32_t chunk) {
   const JobSpec& s = job.spec;
   const size_t blocks = replica_.leases.size();
+  pools_.resize(blocks);
   std::vector<double> score(blocks);
   std::map<std::string, uint32_t> zones;
   std::string only_zone = s.zone;
-  for (const auto& c : job.chunks)
-    for (const auto& t : c.tasks)
-      if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine)) {
-        score[static_cast<size_t>(m->block)] += 0.5;
-        ++zones[m->zone];
-        if (s.one_zone) only_zone = m->zone;
-      }
+  if (s.spread || s.one_zone) {
+    for (const auto& c : job.chunks)
+      for (const auto& t : c.tasks)
+        if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine)) {
+          score[static_cast<size_t>(m->block)] += 0.5;
+          ++zones[m->zone];
+          if (s.one_zone) only_zone = m->zone;
+        }
+  }
   const Chunk& c = job.chunks[chunk];
   const double wanted = static_cast<double>(c.tasks.size()) - c.done - c.placed;
-  std::vector<std::map<std::string, double>> per_zone(blocks);
-  std::vector<double> cached(blocks);
-  for (const auto& [name, v] : views) {
-    const Machine* m = replica_.machine(name);
-    if (m == nullptr || !v.up || v.cpus_free <= 0) continue;
-    if (m->spot && !s.spot) continue;
-    if (!only_zone.empty() && m->zone != only_zone) continue;
-    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), m->type) == s.types.end())
-      continue;
-    if (s.spread && zones[m->zone] >= (s.tasks + 1) / 2) continue;
-    double slots = wanted;
-    if (s.cpus > 0) slots = std::min(slots, std::floor(v.cpus_free / s.cpus + 1e-9));
-    if (s.memory_gb > 0) slots = std::min(slots, std::floor(v.memory_free / s.memory_gb + 1e-9));
-    if (s.gpus > 0) slots = std::min(slots, std::floor(v.gpus_free / s.gpus + 1e-9));
-    if (slots <= 0) continue;
-    const auto b = static_cast<size_t>(m->block);
-    const double weight = s.spot && !m->spot ? 0.3 : 1;
-    per_zone[b][m->zone] += slots * weight;
-    if (std::find(v.images.begin(), v.images.end(), s.image) != v.images.end())
-      cached[b] += slots * weight;
-  }
+  const uint32_t most_in_zone = (s.tasks + 1) / 2;
+  auto usable = [&](const Pool& p) {
+    if (p.spot && !s.spot) return false;
+    if (!only_zone.empty() && p.zone != only_zone) return false;
+    return s.types.empty() ||
+           std::find(s.types.begin(), s.types.end(), p.type->name) != s.types.end();
+  };
+  auto slots = [&](const Pool& p, double cpus) {
+    double n = wanted;
+    if (s.cpus > 0) n = std::min(n, std::floor(cpus / s.cpus + 1e-9));
+    if (s.memory_gb > 0) n = std::min(n, std::floor(p.memory / s.memory_gb + 1e-9));
+    if (s.gpus > 0) n = std::min(n, std::floor(p.gpus / s.gpus + 1e-9));
+    return std::max(0.0, n) * (s.spot && !p.spot ? 0.3 : 1);
+  };
   for (size_t b = 0; b < blocks; ++b) {
     // A block without a grant for this team cannot take the job, whatever its room.
     if (placement::granted_cpus(ctx_.settings, replica_.types, s.team, static_cast<int>(b),
@@ -296,40 +322,70 @@
       score[b] = -1;
       continue;
     }
+    std::map<std::string, double> per_zone;
+    double cached = 0;
+    for (const Pool& p : pools_[b]) {
+      if (!usable(p)) continue;
+      per_zone[p.zone] += slots(p, p.cpus);
+      auto there = p.cached.find(s.image);
+      if (there != p.cached.end()) cached += slots(p, std::min(there->second, p.cpus));
+    }
     double fit = 0;
-    for (const auto& [zone, n] : per_zone[b])
-      fit += s.spread ? std::min(n, static_cast<double>((s.tasks + 1) / 2 - zones[zone])) : n;
+    for (const auto& [zone, n] : per_zone)
+      fit += s.spread ? std::min(n, static_cast<double>(most_in_zone) -
+                                        std::min(zones[zone], most_in_zone))
+                      : n;
     score[b] +=
-        10 * std::min(fit, wanted) + 5 * std::min(cached[b], wanted) + 0.01 * std::min(fit, 100.0);
+        10 * std::min(fit, wanted) + 5 * std::min(cached, wanted) + 0.01 * std::min(fit, 100.0);
     // Among equals, jobs are dealt out evenly.
     score[b] += 0.001 * static_cast<double>((std::hash<std::string>{}(s.id) + chunk + b) % blocks);
   }
-  return static_cast<int>(std::max_element(score.begin(), score.end()) - score.begin());
+  const auto best =
+      static_cast<size_t>(std::max_element(score.begin(), score.end()) - score.begin());
+  // The next job finds less room there, also before its holder has said so.
+  double left = wanted;
+  for (Pool& p : pools_[best]) {
+    if (left <= 0) break;
+    if (!usable(p) || s.cpus <= 0) continue;
+    const double n = std::min(left, std::max(0.0, std::floor(p.cpus / s.cpus)));
+    p.cpus -= n * s.cpus;
+    p.memory -= n * s.memory_gb;
+    p.gpus -= n * s.gpus;
+    left -= n;
+  }
+  return static_cast<int>(best);
 }
 
-void Leader::route_now(const std::map<std::string, net::MachineView>& views) {
+// Waiting jobs that a batch touched get their routes at once; the others are looked at in turn.
+void Leader::route_now() {
   if (!leading()) return;
+  for (const auto& id : replica_.touched_jobs)
+    if (replica_.waiting_jobs.count(id) != 0) unrouted_.insert(id);
+  if (unrouted_.empty()) return;
+  route(unrouted_);
+  unrouted_.clear();
+  send_routes();
+}
+
+void Leader::route(const std::set<std::string>& jobs) {
   const double now = ctx_.now.steady;
   const double patience = kRerouteReports * ctx_.settings.platform.report_s;
-  std::map<int, std::vector<net::Route>> fresh;
-  std::set<ChunkId> open;
-  for (const auto& id : replica_.open_jobs) {
-    const Job& job = *replica_.job(id);
-    if (replica_.unplaced(job) == 0) continue;
+  for (const auto& id : jobs) {
+    const Job* found = replica_.job(id);
+    if (found == nullptr || replica_.waiting_jobs.count(id) == 0) continue;
+    const Job& job = *found;
     int together = -1;
     for (uint32_t c = 0; c < job.chunks.size(); ++c) {
       const Chunk& chunk = job.chunks[c];
       if (chunk.done + chunk.placed >= chunk.tasks.size()) continue;
-      const ChunkId key{id, c};
-      open.insert(key);
-      auto it = routes_.find(key);
+      auto it = routes_.find({id, c});
       int block;
       if (it != routes_.end() && now - it->second.since < patience) {
         block = it->second.block;
       } else if (together >= 0) {
         block = together;
       } else {
-        block = choose_block(job, c, views);
+        block = choose_block(job, c);
       }
       // One block at a time decides for a job whose tasks depend on each other's places.
       if (job.spec.one_zone || job.spec.spread || job.spec.shape == Shape::kGang) together = block;
@@ -337,32 +393,44 @@
         if (now - it->second.since >= patience) it->second.since = now;
         continue;
       }
-      routes_[key] = {block, now};
-      fresh[block].push_back({id, c});
+      routes_[{id, c}] = {block, now};
+      fresh_routes_[block].push_back({id, c});
     }
   }
-  std::erase_if(routes_, [&](const auto& r) { return open.count(r.first) == 0; });
+}
+
+void Leader::send_routes() {
+  const double now = ctx_.now.steady;
   const bool full = now >= next_full_routes_;
   const auto moves = fleet_.take_moves();
-  if (!full && fresh.empty() && moves.empty()) return;
-  if (full) next_full_routes_ = now + ctx_.settings.platform.report_s / 6;
+  if (!full && fresh_routes_.empty() && moves.empty()) return;
   std::map<std::string, net::Routes> messages;
   for (const auto& label : ctx_.settings.platform.labels()) {
     net::Routes& m = messages[label];
     m.term = term_;
     m.full = full;
-    m.drain.assign(fleet_.draining().begin(), fleet_.draining().end());
   }
+  auto holder = [&](int block) { return replica_.leases[static_cast<size_t>(block)].holder; };
   if (full) {
+    next_full_routes_ = now + ctx_.settings.platform.report_s / 6;
+    std::erase_if(routes_, [&](const auto& r) {
+      const Job* job = replica_.job(r.first.first);
+      if (job == nullptr || job->over() || r.first.second >= job->chunks.size()) return true;
+      const Chunk& c = job->chunks[r.first.second];
+      return c.done + c.placed >= c.tasks.size();
+    });
     for (const auto& [key, r] : routes_)
-      messages[replica_.leases[static_cast<size_t>(r.block)].holder].routes.push_back(
-          {key.first, key.second});
+      messages[holder(r.block)].routes.push_back({key.first, key.second});
+    for (const auto& name : fleet_.draining())
+      if (const Machine* m = replica_.machine(name))
+        messages[holder(m->block)].drain.push_back(name);
   } else {
-    for (const auto& [block, routes] : fresh) {
-      auto& to = messages[replica_.leases[static_cast<size_t>(block)].holder].routes;
+    for (const auto& [block, routes] : fresh_routes_) {
+      auto& to = messages[holder(block)].routes;
       to.insert(to.end(), routes.begin(), routes.end());
     }
   }
+  fresh_routes_.clear();
   for (auto& [label, m] : messages) m.moves = moves;
   for (auto& [label, m] : messages) {
     if (!full && m.routes.empty() && m.moves.empty()) continue;
@@ -373,13 +441,14 @@
   }
 }
 
+// Since when each chunk waits. What has just come is being placed; only what found no room counts.
 std::vector<cloud::Waiting> Leader::waiting() {
   std::vector<cloud::Waiting> out;
   std::map<ChunkId, double> since;
   const double now = ctx_.now.steady;
-  for (const auto& id : replica_.open_jobs) {
+  for (const auto& id : replica_.waiting_jobs) {
     const Job& job = *replica_.job(id);
-    if (replica_.unplaced(job) == 0 || holder_.backing_off(id)) continue;
+    if (holder_.backing_off(id)) continue;
     uint32_t count = 0;
     for (uint32_t c = 0; c < job.chunks.size(); ++c) {
       const Chunk& chunk = job.chunks[c];
@@ -387,7 +456,6 @@
       if (left == 0) continue;
       auto it = waiting_since_.find({id, c});
       const double from = since[{id, c}] = it != waiting_since_.end() ? it->second : now;
-      // What has just come is being placed; only what found no room counts.
       if (now - from > ctx_.settings.platform.report_s / 6) count += left;
     }
     if (count > 0) out.push_back({&job, count});
@@ -403,12 +471,11 @@
 
 // Two holders may finish the last tasks of a job at once, each without seeing the other's.
 void Leader::finish_jobs() {
-  for (const auto& id : replica_.open_jobs) {
+  for (const auto& id : replica_.finished_jobs) {
     const Job& job = *replica_.job(id);
-    if (!job.finished_tasks() || finishing_.count(id) != 0) continue;
+    if (finishing_.count(id) != 0) continue;
     Job ended;
-    ended.spec = job.spec;
-    ended.submitted = job.submitted;
+    ended.spec.tasks = job.spec.tasks;
     ended.end = JobEnd::kDone;
     bool sent =
         committer_.commit({{job_key(id), job.stamp}}, {{job_key(id), encode_job(ended), 0}},
@@ -423,13 +490,31 @@
   }
 }
 
-void Leader::tick(const std::map<std::string, net::MachineView>& views) {
+void Leader::tick(const net::ViewMap& views) {
   elect();
   if (!leading()) return;
+  const double now = ctx_.now.steady;
+  const double report = ctx_.settings.platform.report_s;
   lease_blocks();
   finish_jobs();
-  fleet_.tick(views, waiting(), suspect_blocks());
-  route_now(views);
+  if (now >= next_sum_) {
+    next_sum_ = now + report / 10;
+    sum_up(views);
+  }
+  // Whom to rent for changes slowly beside the tick.
+  if (fleet_.wants_waiting())
+    fleet_.tick(views, waiting(), suspect_blocks());
+  else
+    fleet_.tick(views, {}, suspect_blocks());
+  // Those that found no room are looked at again in turn: a part of them with each tick.
+  std::set<std::string> turn;
+  auto from = replica_.waiting_jobs.upper_bound(last_routed_);
+  const size_t part =
+      std::max<size_t>(kTurnJobs, replica_.waiting_jobs.size() / kTurnsPerReroute);
+  for (; from != replica_.waiting_jobs.end() && turn.size() < part; ++from) turn.insert(*from);
+  last_routed_ = from == replica_.waiting_jobs.end() ? "" : *turn.rbegin();
+  route(turn);
+  send_routes();
 }
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -1,6 +1,8 @@
 // Leadership: the election over a state lease, the leasing of blocks, the routing of jobs.
 #pragma once
 
+#include <unordered_map>
+
 #include "rooksill/cloud/fleet.h"
 #include "rooksill/core/context.h"
 #include "rooksill/core/holder.h"
@@ -15,8 +17,8 @@
   Leader(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
          Peers& peers, Holder& holder, cloud::Fleet& fleet);
 
-  void tick(const std::map<std::string, net::MachineView>& views);
-  void route_now(const std::map<std::string, net::MachineView>& views);
+  void tick(const net::ViewMap& views);
+  void route_now();  // what the batch brought
   bool leading() const;
   // Nobody has been heard leading for a while: holders go on by themselves.
   bool absent() const;
@@ -34,8 +36,19 @@
   std::set<int> suspect_blocks();
   std::vector<cloud::Waiting> waiting();
   void finish_jobs();
-  int choose_block(const Job& job, uint32_t chunk,
-                   const std::map<std::string, net::MachineView>& views);
+  // Free room of one kind of machine in a block, by zone. Summed up from what holders say, and
+  // lessened by what has been routed there since.
+  struct Pool {
+    const MachineType* type = nullptr;
+    std::string zone;
+    bool spot = false;
+    double cpus = 0, memory = 0, gpus = 0;
+    std::unordered_map<std::string, double> cached;  // cores where an image is
+  };
+  void sum_up(const net::ViewMap& views);
+  void route(const std::set<std::string>& jobs);
+  void send_routes();
+  int choose_block(const Job& job, uint32_t chunk);
 
   Context& ctx_;
   Replica& replica_;
@@ -48,7 +61,7 @@
   bool leading_ = false, electing_ = false, renewing_ = false, heard_peer_ = false;
   uint64_t term_ = 0, lease_ = 0;
   double valid_until_ = 0, next_renewal_ = 0, next_try_ = 0, vacant_since_ = 0;
-  double next_full_routes_ = 0, next_lease_ = 0, term_started_ = 0;
+  double next_full_routes_ = 0, next_sum_ = 0, term_started_ = 0;
   std::set<int> leasing_;
   std::map<int, double> gave_up_;  // block -> when it was last taken from a holder that saw silence
   struct Routed {
@@ -58,6 +71,10 @@
   std::map<ChunkId, Routed> routes_;
   std::map<ChunkId, double> waiting_since_;
   std::set<std::string> finishing_;
+  std::vector<std::vector<Pool>> pools_;  // by block
+  std::map<int, std::vector<net::Route>> fresh_routes_;
+  std::set<std::string> unrouted_;  // jobs touched since the last routing
+  std::string last_routed_;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -59,7 +59,9 @@
   JobSpec spec;
   uint64_t stamp = 0;
   JobEnd end = JobEnd::kOpen;
-  double submitted = 0;  // wall clock
+  double submitted = 0;      // wall clock
+  uint32_t chunk_tasks = 1;  // tasks to a chunk, as the node that accepted the job chose
+  int image = 0;             // the image's number in this process, for quick comparisons
   std::vector<Chunk> chunks;
   uint32_t done = 0, placed = 0;
   bool over() const { return end != JobEnd::kOpen; }
@@ -71,7 +73,8 @@
   std::string name, type, zone;
   bool spot = false;
   int block = 0;
-  double rented = 0;  // wall clock
+  int page = 0;       // of its block's list
+  double rented = 0;  // wall clock, in whole seconds
 };
 
 // Who may act for a block. Changing this key makes the former holder's transactions fail.
@@ -89,7 +92,10 @@
   uint64_t term = 0;
 };
 
-inline constexpr uint32_t kChunkTasks = 16;
+// What a task in a chunk or a machine in a list takes at most of a state value, in bytes: names are
+// at most 100 long. So neither a chunk nor a page of a list can outgrow its value.
+inline constexpr size_t kItemBytes = 128;
+inline constexpr size_t kMaxName = 100;
 inline constexpr int kTokenShift = 20;  // a holder raises tokens below its lease's
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -4,10 +4,12 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "rooksill/core/codec.h"
 #include "rooksill/core/model.h"
+#include "rooksill/settings/settings.h"
 
 namespace rooksill::core {
 
@@ -17,9 +19,22 @@
   std::string job, machine;
 };
 
+// What the state says is on a machine, kept up with each change.
+struct MachineLoad {
+  std::set<TaskRef> tasks;
+  double cpus = 0, gpus = 0, memory = 0;
+  double replica_cpus = 0;  // of services
+};
+
+// One value of the list of a block's machines.
+struct MachinePage {
+  uint64_t stamp = 0;
+  std::set<std::string> names;
+};
+
 class Replica {
  public:
-  explicit Replica(int blocks);
+  explicit Replica(const PlatformSettings& settings);
 
   // Takes a value if it is newer than what is known. False if nothing changed.
   bool apply(const std::string& key, const nlohmann::json& value, uint64_t stamp);
@@ -30,38 +45,63 @@
   const Job* job(const std::string& id) const;
   const Machine* machine(const std::string& name) const;
   const TaskState* task(const TaskRef& t) const;
-  const std::set<TaskRef>& placed_on(const std::string& machine) const;
+  const MachineLoad& load(const std::string& machine) const;
+  const std::set<TaskRef>& placed_on(const std::string& machine) const {
+    return load(machine).tasks;
+  }
   // On no machine, or on one that is gone for certain.
   bool waits(const TaskState& t) const {
     return !t.done && (t.machine.empty() || machine_gone(t.machine));
   }
+  // A machine in no list has been released, but only as far as the lists are known: one that was
+  // dealt after them would look gone. All changes up to `synced_epoch` are known, and a task's
+  // machine was listed before the task's chunk was written.
+  bool lists_cover(const Chunk& chunk) const { return synced_epoch >= chunk.stamp; }
   uint32_t unplaced(const Job& job) const { return job.spec.tasks - job.done - job.placed; }
   bool machine_gone(const std::string& name) const { return machines.count(name) == 0; }
+  int image_number(const std::string& image);
+  const std::string& image_name(int number) const {
+    return image_names_[static_cast<size_t>(number) - 1];
+  }
+  // Tasks to a chunk, machines to a page of a list: what fits a state value.
+  uint32_t items_per_value() const { return items_per_value_; }
 
   std::unordered_map<std::string, Job> jobs;
-  std::map<std::string, Machine> machines;
+  std::unordered_map<std::string, Machine> machines;
   std::map<std::string, MachineType> types;
   std::vector<BlockLease> leases;
-  std::vector<uint64_t> machine_stamps;
+  std::vector<std::vector<MachinePage>> pages;  // by block
   Leadership leader;
   uint64_t term = 0, term_stamp = 0;
   std::set<std::string> open_jobs;
-  uint64_t synced_epoch = 0;  // everything up to here is known
+  std::set<std::string> waiting_jobs;   // open, with tasks on no machine
+  std::set<std::string> finished_jobs;  // open, with all tasks done
+  uint64_t synced_epoch = 0;            // everything up to here is known
   bool synced = false;
 
   // Emptied by the core after each batch.
   std::vector<TaskEvent> events;
   std::set<std::string> touched_jobs;
+  std::unordered_set<std::string> touched_machines;
 
  private:
   void count(Job& job, Chunk& chunk);
+  void index(const Job& job);
   void recount(const std::string& machine);
+  void apply_job(const std::string& id, Job fresh, uint64_t stamp);
   void apply_chunk(Job& job, uint32_t index, std::vector<TaskState> tasks, uint64_t stamp);
+  void apply_machines(int block, int page, std::map<std::string, Machine> fresh, uint64_t stamp);
+  void put_on(const Job& job, const TaskRef& ref, const std::string& machine);
+  void take_off(const Job& job, const TaskRef& ref, const std::string& machine);
+  Job* chunk_of(const std::string& name, uint32_t& index);
 
-  std::unordered_map<std::string, std::set<TaskRef>> placed_on_;
+  uint32_t items_per_value_;
+  std::unordered_map<std::string, MachineLoad> loads_;
+  std::unordered_map<std::string, int> image_numbers_;
+  std::vector<std::string> image_names_;
 };
 
-size_t chunk_count(const JobSpec& spec);
-size_t chunk_size(const JobSpec& spec, uint32_t chunk);
+size_t chunk_count(const Job& job);
+size_t chunk_size(const Job& job, uint32_t chunk);
 
 }  // namespace rooksill::core
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -4,33 +4,49 @@
 
 #include <msgpack.hpp>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace rooksill::net {
 
-enum class PeerKind : int { kBeat = 1, kUpdates = 2, kRoutes = 3, kSighting = 4 };
+enum class PeerKind : int { kBeat = 1, kUpdates = 2, kRoutes = 3, kSighting = 4, kViews = 5 };
 
+// What a machine's holder says of it.
 struct MachineView {
-  std::string name, address;
+  std::string name;
   bool up = false, draining = false, silent = false, bad = false, warned = false;
   double cpus_free = 0, gpus_free = 0, memory_free = 0;
   double load = 0;  // share of the machine in use
   uint32_t tasks = 0;
   std::vector<std::string> images;
-  MSGPACK_DEFINE_ARRAY(name, address, up, draining, silent, bad, warned, cpus_free, gpus_free,
-                       memory_free, load, tasks, images)
+  MSGPACK_DEFINE_ARRAY(name, up, draining, silent, bad, warned, cpus_free, gpus_free, memory_free,
+                       load, tasks, images)
+  bool operator==(const MachineView&) const = default;
+};
+
+using ViewMap = std::unordered_map<std::string, MachineView>;
+
+// To the leader: only what has changed, and some of the rest in turn, so that what was lost on the
+// way is made good.
+struct Views {
+  std::vector<MachineView> machines;
+  MSGPACK_DEFINE_ARRAY(machines)
+};
+
+struct Address {
+  std::string machine, address;
+  MSGPACK_DEFINE_ARRAY(machine, address)
 };
 
 struct Beat {
   bool ready = false, state_ok = false, suspects_itself = false;
   uint64_t term = 0;  // this node leads in this term; 0: it does not
-  std::vector<int> blocks;
-  std::vector<MachineView> machines;
-  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, blocks, machines)
+  std::vector<Address> addresses;  // lately learned, and some others in turn
+  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses)
 };
 
 struct Update {
-  std::string key, value;
+  std::string key, value;  // no value: deleted
   uint64_t stamp = 0;
   MSGPACK_DEFINE_ARRAY(key, value, stamp)
 };
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -13,82 +13,128 @@
 // Part of an ordinary machine that work which may use cheap machines leaves to work which may not.
 constexpr double kOrdinaryReserve = 0.1;
 constexpr double kHopeless = 1e6;  // s by which a job that can meet no limit stands back
-constexpr int kMaxEvictions = 32;  // jobs made room for in one pass
+constexpr int kMaxEvictions = 64;  // machines made room on in one pass
+constexpr double kSlack = 1e-9;    // sums of fractions
+constexpr double kPause = 0.025;   // s between two passes; longer, the more waits
+constexpr double kSlowedBy = 200;  // waiting chunks that double it
+}  // namespace
 
-bool cached(const Worker& w, const std::string& image) {
-  return std::any_of(w.images.begin(), w.images.end(),
-                     [&](const auto& i) { return i.first == image; });
-}
+// ---- room ----------------------------------------------------------------------------------
 
-}  // namespace
+void Holder::forget_room(Worker& w) {
+  for (const auto& [team, used] : w.room.teams) {
+    auto& all = team_use_[{w.room.block, team}];
+    all.first -= used.first;
+    all.second -= used.second;
+  }
+  w.room.teams.clear();
+}
 
-std::map<std::string, Holder::Room> Holder::rooms() {
-  std::map<std::string, Room> out;
-  const double probe_age = 1.15 * ctx_.settings.platform.report_s;
-  team_use_.clear();
-  auto use = [&](Room& room, const JobSpec& s) {
-    room.cpus -= s.cpus;
-    room.gpus -= s.gpus;
-    room.memory -= s.memory_gb;
+void Holder::work_out_room(Worker& w) {
+  w.room_stale = false;
+  forget_room(w);
+  Room& room = w.room;
+  room = Room{};
+  const Machine* m = replica_.machine(w.name);
+  if (m == nullptr) return;
+  room.block = m->block;
+  room.spot = m->spot;
+  room.zone = m->zone;
+  auto type = replica_.types.find(m->type);
+  if (type != replica_.types.end()) {
+    room.type = &type->second;
+    room.cpus = room.type->cpus;
+    room.gpus = room.type->gpus;
+    room.memory = room.type->memory_gb;
+  }
+  auto use = [&](const Job& job, double sign) {
+    const JobSpec& s = job.spec;
+    room.cpus -= sign * s.cpus;
+    room.gpus -= sign * s.gpus;
+    room.memory -= sign * s.memory_gb;
+    auto& team = room.teams[s.team];
+    team.first += sign * s.cpus;
+    team.second += sign * s.gpus;
+    if (sign < 0) {
+      --room.tasks;
+      return;
+    }
     ++room.tasks;
-    if (!cached(*room.worker, s.image)) room.fetching.insert(s.image);
-    auto& team = team_use_[{room.machine->block, s.team}];
-    team.first += s.cpus;
-    team.second += s.gpus;
+    if (!w.has_image(job.image) &&
+        std::find(room.fetching.begin(), room.fetching.end(), job.image) == room.fetching.end())
+      room.fetching.push_back(job.image);
   };
-  for (auto& [name, w] : workers_) {
-    const Machine* m = replica_.machine(name);
-    if (m == nullptr) continue;
-    Room room;
-    room.worker = &w;
-    room.machine = m;
-    auto type = replica_.types.find(m->type);
-    if (type != replica_.types.end()) {
-      room.type = &type->second;
-      room.cpus = room.type->cpus;
-      room.gpus = room.type->gpus;
-      room.memory = room.type->memory_gb;
-    }
-    for (const auto& ref : replica_.placed_on(name)) use(room, replica_.job(ref.job)->spec);
-    // Tasks that should not be there hold their room until they are gone.
-    for (const auto& t : w.tasks) {
-      const TaskState* s = replica_.task(t.task);
-      if (t.phase == worker::Phase::kExited || s == nullptr) continue;
-      if (s->machine != name || s->attempt != t.attempt) use(room, replica_.job(t.task.job)->spec);
+  const auto& placed = replica_.placed_on(w.name);
+  for (const auto& ref : placed) {
+    const Job& job = *replica_.job(ref.job);
+    use(job, 1);
+    auto e = evicted_.find(ref);
+    const TaskState* t = replica_.task(ref);
+    if (e != evicted_.end() && t != nullptr && e->second == t->attempt) {
+      room.leaving_cpus += job.spec.cpus;
+      room.leaving_gpus += job.spec.gpus;
+      room.leaving_memory += job.spec.memory_gb;
+    } else {
+      room.cpus_by_priority[static_cast<size_t>(job.spec.priority)] += job.spec.cpus;
     }
-    const bool heard = ctx_.now.steady - w.last_heard < probe_age || !w.probe_failed;
-    room.open = room.type != nullptr && w.reported && heard && !w.bad && !w.notice_until &&
-                drain_.count(name) == 0 && w.avoid_until <= ctx_.now.steady;
-    out.emplace(name, room);
   }
-  for (const auto& [id, work] : work_) {
-    const Job* job = replica_.job(id.first);
-    for (const auto* changes : {&work.waiting, &work.sent})
-      for (const auto& [i, c] : *changes)
-        if (c.kind == Change::Kind::kPlace && job != nullptr) {
-          auto it = out.find(c.machine);
-          if (it != out.end() && job->chunks[id.second].tasks[i].machine != c.machine)
-            use(it->second, job->spec);
-        }
+  for (const auto& t : w.tasks) {
+    const Job* job = replica_.job(t.task.job);
+    const TaskState* s = replica_.task(t.task);
+    if (job == nullptr || s == nullptr) continue;
+    const bool here = s->machine == w.name && s->attempt == t.attempt;
+    // What has ended uses nothing any more, though its result is not written yet. What should not
+    // be there holds its room until it is gone.
+    if (t.phase == worker::Phase::kExited && here && placed.count(t.task) != 0)
+      use(*job, -1);
+    else if (t.phase != worker::Phase::kExited && !here)
+      use(*job, 1);
+  }
+  for (const auto& ref : w.placing)
+    if (const Job* job = replica_.job(ref.job); job != nullptr && placed.count(ref) == 0)
+      use(*job, 1);
+  for (const auto& [team, used] : room.teams) {
+    auto& all = team_use_[{room.block, team}];
+    all.first += used.first;
+    all.second += used.second;
+  }
+}
+
+const Room& Holder::room_of(Worker& w) {
+  if (w.room_stale) work_out_room(w);
+  return w.room;
+}
+
+bool Holder::open(const Worker& w) const {
+  const bool heard =
+      ctx_.now.steady - w.last_heard < kProbeReports * ctx_.settings.platform.report_s ||
+      !w.probe_failed;
+  return w.room.type != nullptr && w.reported && heard && !w.bad && !w.notice_until &&
+         drain_.count(w.name) == 0 && w.avoid_until <= ctx_.now.steady;
+}
+
+std::vector<Worker*> Holder::open_workers() {
+  std::vector<Worker*> out;
+  for (auto& [name, w] : workers_) {
+    room_of(w);
+    if (open(w)) out.push_back(&w);
   }
   return out;
 }
 
-bool Holder::allowed(const JobSpec& s, const Room& r) const {
-  if (!r.open) return false;
-  if (r.machine->spot && !s.spot) return false;
-  if (!s.zone.empty() && s.zone != r.machine->zone) return false;
-  return s.types.empty() ||
-         std::find(s.types.begin(), s.types.end(), r.machine->type) != s.types.end();
+bool Holder::allowed(const JobSpec& s, const Worker& w) const {
+  const Room& r = w.room;
+  if (r.spot && !s.spot) return false;
+  if (!s.zone.empty() && s.zone != r.zone) return false;
+  return s.types.empty() || std::find(s.types.begin(), s.types.end(), r.type->name) != s.types.end();
 }
 
-bool Holder::fits(const JobSpec& s, const Room& r) {
-  constexpr double kSlack = 1e-9;
-  return s.cpus <= r.cpus + kSlack && s.gpus <= r.gpus + kSlack && s.memory_gb <= r.memory + kSlack;
+bool Holder::fits(const JobSpec& s, double cpus, double gpus, double memory) {
+  return s.cpus <= cpus + kSlack && s.gpus <= gpus + kSlack && s.memory_gb <= memory + kSlack;
 }
 
 double Holder::reserve(const JobSpec& s, const Room& r) const {
-  if (r.machine->spot) return 0;
+  if (r.spot || !s.spot) return 0;
   // Work that saves and is gone before anybody's start is late need not leave room free.
   double soonest = std::numeric_limits<double>::infinity();
   for (const auto& o : ctx_.settings.platform.objectives)
@@ -97,118 +143,172 @@
   return kOrdinaryReserve * r.type->cpus;
 }
 
-bool Holder::within_limit(const JobSpec& s, int block) {
+double Holder::team_grant(const std::string& team, int block, bool gpus) {
+  auto [it, fresh] = grants_.try_emplace({block, team, gpus}, 0);
+  if (!fresh) return it->second;
   const auto& p = ctx_.settings.platform;
-  auto team = p.teams.find(s.team);
-  if (team == p.teams.end()) return false;
-  double biggest_gpus = 0;
-  for (const auto& [n, t] : replica_.types) biggest_gpus = std::max(biggest_gpus, t.gpus);
-  const auto& used = team_use_[{block, s.team}];
+  auto limits = p.teams.find(team);
+  if (limits == p.teams.end()) return 0;
   const int blocks = static_cast<int>(replica_.leases.size());
-  return used.first + s.cpus <=
-             placement::granted_cpus(ctx_.settings, replica_.types, s.team, block, blocks) + 1e-9 &&
-         used.second + s.gpus <=
-             placement::granted(team->second.gpus_max, 2 * biggest_gpus, s.team, block, blocks) +
-                 1e-9;
+  if (!gpus)
+    return it->second =
+               placement::granted_cpus(ctx_.settings, replica_.types, team, block, blocks);
+  double biggest = 0;
+  for (const auto& [n, t] : replica_.types) biggest = std::max(biggest, t.gpus);
+  return it->second =
+             placement::granted(limits->second.gpus_max, 2 * biggest, team, block, blocks);
+}
+
+bool Holder::within_limit(const JobSpec& s, int block) {
+  const auto& used = team_use_[{block, s.team}];
+  return used.first + s.cpus <= team_grant(s.team, block, false) + kSlack &&
+         used.second + s.gpus <= team_grant(s.team, block, true) + kSlack;
 }
 
-Holder::Room* Holder::choose(const Job& job, std::map<std::string, Room>& rooms,
-                             const std::map<std::string, uint32_t>& zones,
-                             const std::string& only_zone) {
+// How many more tasks of this kind a machine takes.
+uint32_t Holder::slots(const JobSpec& s, const Worker& w) {
+  const Room& r = w.room;
+  const double kept = reserve(s, r);
+  double n = 1e6;
+  auto part = [&](double have, double need) {
+    if (need > 0) n = std::min(n, std::floor((have + kSlack) / need));
+  };
+  part(r.cpus - kept, s.cpus);
+  part(r.gpus, s.gpus);
+  part(r.memory, s.memory_gb);
+  if (n < 1) return 0;
+  const auto& used = team_use_[{r.block, s.team}];
+  part(team_grant(s.team, r.block, false) - used.first, s.cpus);
+  part(team_grant(s.team, r.block, true) - used.second, s.gpus);
+  return n < 1 ? 0 : static_cast<uint32_t>(n);
+}
+
+// The smaller, the better a place.
+double Holder::score(const Job& job, const Worker& w) const {
   const JobSpec& s = job.spec;
-  const uint32_t most_in_zone = (s.tasks + 1) / 2;
+  const Room& r = w.room;
+  double out = 0;
+  // An image that is there already starts at once; one on its way costs its share of the wait.
+  if (!w.has_image(job.image)) {
+    // Images fetched at the same time share the rate, so those waiting for one go together.
+    const double fetch = s.image_gb / std::max(0.01, r.type->fetch_gb_per_s);
+    const bool coming =
+        std::find(r.fetching.begin(), r.fetching.end(), job.image) != r.fetching.end();
+    const double others = static_cast<double>(r.fetching.size()) - (coming ? 1 : 0);
+    out += 100 * (1 + fetch * (coming ? 0.5 : 1) * (1 + others));
+  }
+  if (s.spot && !r.spot) out += 300;
   auto trouble = troubles_.find(s.id);
-  double cheapest = std::numeric_limits<double>::infinity();
-  for (const auto& [name, t] : replica_.types)
-    if (t.cpus > 0) cheapest = std::min(cheapest, t.price / t.cpus);
-  if (!(cheapest > 0)) cheapest = 1;
-  Room* best = nullptr;
-  double best_score = std::numeric_limits<double>::infinity();
-  for (auto& [name, r] : rooms) {
-    if (!allowed(s, r) || !fits(s, r)) continue;
-    if (!only_zone.empty() && r.machine->zone != only_zone) continue;
-    if (s.spread) {
-      auto z = zones.find(r.machine->zone);
-      if (z != zones.end() && z->second >= most_in_zone) continue;
-    }
-    if (s.spot && r.cpus - s.cpus < reserve(s, r)) continue;
-    if (!within_limit(s, r.machine->block)) continue;
-    double score = 0;
-    // An image that is there already starts at once; one on its way costs its share of the wait.
-    if (!cached(*r.worker, s.image)) {
-      // Images fetched at the same time share the rate, so those waiting for one go together.
-      const double fetch = s.image_gb / std::max(0.01, r.type->fetch_gb_per_s);
-      const bool coming = r.fetching.count(s.image) != 0;
-      const double others = static_cast<double>(r.fetching.size()) - (coming ? 1 : 0);
-      score += 100 * (1 + fetch * (coming ? 0.5 : 1) * (1 + others));
-    }
-    if (s.spot && !r.machine->spot) score += 300;
-    if (trouble != troubles_.end() && trouble->second.machines.count(name) != 0) score += 1e6;
-    const double price = r.machine->spot ? r.type->spot_price : r.type->price;
-    if (r.type->cpus > 0) score += 50 * price / r.type->cpus / cheapest;
-    score += 10 * r.cpus / r.type->cpus;  // fill the fuller machine, so that others empty
-    if (score < best_score) {
-      best_score = score;
-      best = &r;
-    }
+  if (trouble != troubles_.end() && trouble->second.machines.count(w.name) != 0) out += 1e6;
+  const double price = r.spot ? r.type->spot_price : r.type->price;
+  if (r.type->cpus > 0) {
+    out += 50 * price / r.type->cpus / cheapest_;
+    out += 10 * r.cpus / r.type->cpus;  // fill the fuller machine, so that others empty
   }
-  return best;
+  return out;
 }
 
-// Makes room for work of higher priority by stopping work of lower priority on one machine.
-bool Holder::preempt(const Job& job, std::map<std::string, Room>& rooms,
-                     const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
-                     bool only_cached) {
+// ---- making room ---------------------------------------------------------------------------
+
+// Makes room for so many tasks by stopping work of lower priority. Says for how many of them room
+// is on its way, also from what was stopped before.
+uint32_t Holder::make_room(const Job& job, uint32_t count, const std::vector<Worker*>& workers,
+                           const std::map<std::string, uint32_t>& zones,
+                           const std::string& only_zone, bool only_cached) {
   const JobSpec& s = job.spec;
-  const uint32_t most_in_zone = (s.tasks + 1) / 2;
-  std::vector<TaskRef> best;
-  double best_cost = std::numeric_limits<double>::infinity();
-  for (auto& [name, r] : rooms) {
-    if (!allowed(s, r) || (!only_zone.empty() && r.machine->zone != only_zone)) continue;
-    if (s.spread) {
-      auto z = zones.find(r.machine->zone);
-      if (z != zones.end() && z->second >= most_in_zone) continue;
+  std::map<std::string, uint32_t> in_zone = zones;
+  uint32_t made = 0;
+  auto usable = [&](const Worker& w) {
+    if (!allowed(s, w) || (!only_zone.empty() && w.room.zone != only_zone)) return false;
+    if (s.spread && in_zone[w.room.zone] >= (s.tasks + 1) / 2) return false;
+    if (only_cached && !w.has_image(job.image)) return false;
+    return within_limit(s, w.room.block);
+  };
+  auto lower = [&](const Room& r) {
+    double sum = 0;
+    for (size_t p = 0; p < static_cast<size_t>(s.priority); ++p) sum += r.cpus_by_priority[p];
+    return sum;
+  };
+  // First what is being stopped already, as far as nobody before in this pass counts on it.
+  for (Worker* w : workers) {
+    if (made >= count) return made;
+    const Room& r = w->room;
+    if (r.leaving_cpus <= 0 && r.leaving_memory <= 0) continue;
+    Unmet& taken = promised_[w];
+    while (made < count && usable(*w) &&
+           fits(s, r.cpus + r.leaving_cpus - taken.cpus, r.gpus + r.leaving_gpus - taken.gpus,
+                r.memory + r.leaving_memory - taken.memory)) {
+      taken.cpus += s.cpus;
+      taken.gpus += s.gpus;
+      taken.memory += s.memory_gb;
+      ++in_zone[r.zone];
+      ++made;
     }
-    if (!within_limit(s, r.machine->block)) continue;
-    if (only_cached && !cached(*r.worker, s.image)) continue;
-    Room after = r;
-    std::vector<std::pair<Priority, TaskRef>> lower;
-    for (const auto& ref : replica_.placed_on(name)) {
+  }
+  std::vector<std::pair<double, Worker*>> options;
+  for (Worker* w : workers) {
+    const Room& r = w->room;
+    if (lower(r) <= 0 || !usable(*w)) continue;
+    if (r.cpus + r.leaving_cpus + lower(r) + kSlack < s.cpus) continue;
+    // Where little has to go, and of the lowest priority.
+    const double lowest = r.cpus_by_priority[0];
+    const double missing = std::max(0.0, s.cpus - r.cpus - r.leaving_cpus);
+    options.emplace_back(missing + (lowest < missing ? 1e3 : 0), w);
+  }
+  std::sort(options.begin(), options.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
+  });
+  for (const auto& [cost, w] : options) {
+    if (made >= count || evictions_ >= kMaxEvictions) break;
+    if (!usable(*w)) continue;
+    Unmet& taken = promised_[w];
+    std::vector<std::pair<Priority, TaskRef>> lowers;
+    for (const auto& ref : replica_.placed_on(w->name)) {
       const JobSpec& other = replica_.job(ref.job)->spec;
-      if (evicted_.count(ref) != 0) {  // on its way out already
-        after.cpus += other.cpus;
-        after.gpus += other.gpus;
-        after.memory += other.memory_gb;
-      } else if (other.priority < s.priority) {
-        lower.emplace_back(other.priority, ref);
+      if (other.priority < s.priority && evicted_.count(ref) == 0)
+        lowers.emplace_back(other.priority, ref);
+    }
+    std::sort(lowers.begin(), lowers.end());
+    auto victim = lowers.begin();
+    bool stopped = false;
+    while (made < count && usable(*w)) {
+      const Room& r = w->room;
+      double cpus = r.cpus + r.leaving_cpus - taken.cpus,
+             gpus = r.gpus + r.leaving_gpus - taken.gpus,
+             memory = r.memory + r.leaving_memory - taken.memory;
+      auto until = victim;
+      for (; until != lowers.end() && !fits(s, cpus, gpus, memory); ++until) {
+        const JobSpec& other = replica_.job(until->second.job)->spec;
+        cpus += other.cpus;
+        gpus += other.gpus;
+        memory += other.memory_gb;
+      }
+      if (!fits(s, cpus, gpus, memory)) break;
+      for (; victim != until; ++victim) {
+        const TaskRef& ref = victim->second;
+        ctx_.debug("placer", "task {} on {} is stopped to make room for {}", task_name(ref),
+                   w->name, s.id);
+        evicted_[ref] = replica_.task(ref)->attempt;
+        stopped = true;
       }
+      taken.cpus += s.cpus;
+      taken.gpus += s.gpus;
+      taken.memory += s.memory_gb;
+      ++in_zone[r.zone];
+      ++made;
+      if (stopped) work_out_room(*w);
     }
-    if (fits(s, after)) return true;  // enough is being stopped
-    std::sort(lower.begin(), lower.end());
-    std::vector<TaskRef> victims;
-    double cost = 0;
-    for (const auto& [priority, ref] : lower) {
-      if (fits(s, after)) break;
-      const JobSpec& other = replica_.job(ref.job)->spec;
-      after.cpus += other.cpus;
-      after.gpus += other.gpus;
-      after.memory += other.memory_gb;
-      cost += (1 + static_cast<double>(priority)) * (other.checkpoint_s > 0 ? 1 : 3);
-      victims.push_back(ref);
+    if (stopped) {
+      ++evictions_;
+      attend(*w);
+      work_out_room(*w);
     }
-    if (!fits(s, after) || victims.empty() || cost >= best_cost) continue;
-    best_cost = cost;
-    best = std::move(victims);
-  }
-  for (const auto& ref : best) {
-    const TaskState* t = replica_.task(ref);
-    ctx_.info("placer", "task {} on {} is stopped to make room for {}", task_name(ref), t->machine,
-              s.id);
-    evicted_[ref] = t->attempt;
   }
-  return !best.empty();
+  return made;
 }
 
+// ---- order of work -------------------------------------------------------------------------
+
 // When a job should be done: the first of its class's limits that it can still meet. What can meet
 // none comes after everything that can.
 double Holder::due_time(const Job& job) const {
@@ -232,28 +332,19 @@
 }
 
 // A gang's tasks wait for one another: none is placed before all that wait have room.
-bool Holder::fits_whole(const Job& job, std::map<std::string, Room> rooms,
-                        std::map<std::string, uint32_t> zones, const std::string& only_zone) {
-  for (uint32_t i = 0; i < job.spec.tasks; ++i) {
-    const TaskRef ref{job.spec.id, i};
-    if (!replica_.waits(*replica_.task(ref)) || changing(ref)) continue;
-    Room* r = choose(job, rooms, zones, only_zone);
-    if (r == nullptr) return false;
-    r->cpus -= job.spec.cpus;
-    r->gpus -= job.spec.gpus;
-    r->memory -= job.spec.memory_gb;
-    ++zones[r->machine->zone];
-  }
-  return true;
+bool Holder::fits_whole(const Job& job, const std::vector<Worker*>& workers,
+                        const std::string& only_zone) {
+  uint64_t have = 0;
+  for (const Worker* w : workers)
+    if (allowed(job.spec, *w) && (only_zone.empty() || w->room.zone == only_zone))
+      have += slots(job.spec, *w);
+  return have >= replica_.unplaced(job);
 }
 
 void Holder::place() {
+  if (!place_wanted_ || ctx_.now.steady < next_place_) return;
+  place_wanted_ = false;
   if (held_.empty() || routed_.empty()) return;
-  struct Candidate {
-    const Job* job;
-    uint32_t chunk;
-    double due;
-  };
   std::vector<Candidate> waiting;
   for (auto it = routed_.begin(); it != routed_.end();) {
     const Job* job = replica_.job(it->first);
@@ -263,94 +354,137 @@
     }
     if (job != nullptr) {
       const Chunk& c = job->chunks[it->second];
-      if (c.done + c.placed < c.tasks.size() && !backing_off(it->first)) {
+      if (c.done + c.placed < c.tasks.size() && !backing_off(it->first))
         waiting.push_back({job, it->second, due_time(*job)});
-      }
     }
     ++it;
   }
   if (waiting.empty()) return;
+  next_place_ = ctx_.now.steady + kPause * (1 + static_cast<double>(waiting.size()) / kSlowedBy);
   std::sort(waiting.begin(), waiting.end(), [](const Candidate& a, const Candidate& b) {
     if (a.job->spec.priority != b.job->spec.priority)
       return a.job->spec.priority > b.job->spec.priority;
     if (a.due != b.due) return a.due < b.due;
     return std::pair(a.job->spec.id, a.chunk) < std::pair(b.job->spec.id, b.chunk);
   });
-  auto room = rooms();
-  int evictions = 0;
-  for (const auto& c : waiting) {
-    const Job& job = *c.job;
-    const JobSpec& s = job.spec;
-    std::map<std::string, uint32_t> zones;
-    std::string only_zone;
-    if (s.spread || s.one_zone) {
-      auto count = [&](const std::string& machine) {
-        const Machine* m = replica_.machine(machine);
-        if (m == nullptr) return;
-        ++zones[m->zone];
-        if (s.one_zone) only_zone = m->zone;
-      };
-      for (const auto& chunk : job.chunks)
-        for (const auto& t : chunk.tasks)
-          if (!t.machine.empty()) count(t.machine);
-      for (uint32_t k = 0; k < job.chunks.size(); ++k) {
-        auto work = work_.find({s.id, k});
-        if (work == work_.end()) continue;
-        for (const auto* changes : {&work->second.waiting, &work->second.sent})
-          for (const auto& [i, change] : *changes)
-            if (change.kind == Change::Kind::kPlace) count(change.machine);
-      }
-      if (s.one_zone && only_zone.empty()) {
-        // All of them must come to fit: take the zone with the most room for this job.
-        std::map<std::string, double> slots;
-        for (auto& [name, r] : room)
-          if (allowed(s, r) && s.cpus > 0) slots[r.machine->zone] += std::max(0.0, r.cpus / s.cpus);
-        double most = 0;
-        for (const auto& [z, n] : slots)
-          if (n > most) {
-            most = n;
-            only_zone = z;
-          }
-      }
+  cheapest_ = std::numeric_limits<double>::infinity();
+  for (const auto& [name, t] : replica_.types)
+    if (t.cpus > 0) cheapest_ = std::min(cheapest_, t.price / t.cpus);
+  if (!(cheapest_ > 0)) cheapest_ = 1;
+  grants_.clear();
+  unmet_.clear();
+  promised_.clear();
+  evictions_ = 0;
+  const auto workers = open_workers();
+  for (const auto& c : waiting) place_chunk(c, workers);
+}
+
+void Holder::place_chunk(const Candidate& c, const std::vector<Worker*>& workers) {
+  const Job& job = *c.job;
+  const JobSpec& s = job.spec;
+  const Chunk& chunk = job.chunks[c.chunk];
+  // Tasks of one chunk are alike: all of them look for places at once.
+  std::vector<uint32_t> todo;
+  for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
+    const TaskState& t = chunk.tasks[i];
+    if (replica_.waits(t) && (t.machine.empty() || replica_.lists_cover(chunk)) &&
+        !changing({s.id, c.chunk * job.chunk_tasks + i}))
+      todo.push_back(i);
+  }
+  if (todo.empty()) return;
+  // Where no smaller need was met, this one will not be.
+  const bool plain =
+      s.zone.empty() && s.types.empty() && !s.spread && !s.one_zone && s.shape != Shape::kGang;
+  const int kind = (s.spot ? 1 : 0) + (s.checkpoint_s > 0 ? 2 : 0) +
+                   4 * static_cast<int>(s.priority);
+  auto known = unmet_.find(kind);
+  if (plain && known != unmet_.end() && s.cpus >= known->second.cpus &&
+      s.gpus >= known->second.gpus && s.memory_gb >= known->second.memory)
+    return;
+  std::map<std::string, uint32_t> zones;
+  std::string only_zone;
+  if (s.spread || s.one_zone) {
+    auto count = [&](const std::string& machine) {
+      const Machine* m = replica_.machine(machine);
+      if (m == nullptr) return;
+      ++zones[m->zone];
+      if (s.one_zone) only_zone = m->zone;
+    };
+    for (uint32_t k = 0; k < job.chunks.size(); ++k) {
+      for (const auto& t : job.chunks[k].tasks)
+        if (!t.machine.empty()) count(t.machine);
+      auto work = work_.find({s.id, k});
+      if (work == work_.end()) continue;
+      for (const auto* changes : {&work->second.waiting, &work->second.sent})
+        for (const auto& [i, change] : *changes)
+          if (change.kind == Change::Kind::kPlace) count(change.machine);
     }
-    if (s.shape == Shape::kGang && !fits_whole(job, room, zones, only_zone)) continue;
-    const Chunk& chunk = job.chunks[c.chunk];
-    for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
-      const TaskState& t = chunk.tasks[i];
-      const TaskRef ref{s.id, c.chunk * kChunkTasks + i};
-      if (!replica_.waits(t) || changing(ref)) continue;
-      Room* r = choose(job, room, zones, only_zone);
-      if (r == nullptr) {
-        if (s.priority > Priority::kIdle && evictions < kMaxEvictions) {
-          preempt(job, room, zones, only_zone, false);
-          ++evictions;
+    if (s.one_zone && only_zone.empty()) {
+      // All of them must come to fit: take the zone with the most room for this job.
+      std::map<std::string, uint64_t> room;
+      for (const Worker* w : workers)
+        if (allowed(s, *w)) room[w->room.zone] += slots(s, *w);
+      uint64_t most = 0;
+      for (const auto& [z, n] : room)
+        if (n > most) {
+          most = n;
+          only_zone = z;
         }
-        break;
-      }
-      // A replica that would wait for its image starts sooner where lower work makes room for it.
-      if (s.shape == Shape::kService && s.priority == Priority::kProd &&
-          !cached(*r->worker, s.image) && evictions < kMaxEvictions &&
-          preempt(job, room, zones, only_zone, true)) {
-        ++evictions;
-        break;
-      }
-      r->cpus -= s.cpus;
-      r->gpus -= s.gpus;
-      r->memory -= s.memory_gb;
-      ++r->tasks;
-      if (!cached(*r->worker, s.image)) r->fetching.insert(s.image);
-      auto& used = team_use_[{r->machine->block, s.team}];
-      used.first += s.cpus;
-      used.second += s.gpus;
-      ++zones[r->machine->zone];
-      if (s.one_zone) only_zone = r->machine->zone;
-      change(ref, {Change::Kind::kPlace, r->machine->name, t.attempt + 1, r->machine->block,
-                   basis(job, r->machine->block)});
+    }
+  }
+  if (s.shape == Shape::kGang && !fits_whole(job, workers, only_zone)) return;
+  const uint32_t most_in_zone = (s.tasks + 1) / 2;
+  auto zone_left = [&](const std::string& zone) {
+    if (!only_zone.empty() && zone != only_zone) return uint32_t{0};
+    if (!s.spread) return s.tasks;
+    const uint32_t there = zones[zone];
+    return there >= most_in_zone ? 0 : most_in_zone - there;
+  };
+  std::vector<std::pair<double, Worker*>> places;
+  for (Worker* w : workers)
+    if (allowed(s, *w) && zone_left(w->room.zone) > 0 && slots(s, *w) > 0)
+      places.emplace_back(score(job, *w), w);
+  std::sort(places.begin(), places.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
+  });
+  const bool quick = s.shape == Shape::kService && s.priority == Priority::kProd;
+  size_t next = 0;
+  bool asked = false;
+  for (const auto& [score_there, w] : places) {
+    if (next >= todo.size()) break;
+    // A replica that would wait for its image starts sooner where lower work makes room for it.
+    if (quick && !asked && !w->has_image(job.image)) {
+      asked = true;
+      const auto left = static_cast<uint32_t>(todo.size() - next);
+      const uint32_t made = make_room(job, left, workers, zones, only_zone, true);
+      todo.resize(todo.size() - made);
+      if (next >= todo.size()) return;
+    }
+    const uint32_t here = std::min({slots(s, *w), zone_left(w->room.zone),
+                                    static_cast<uint32_t>(todo.size() - next)});
+    for (uint32_t k = 0; k < here; ++k) {
+      const uint32_t i = todo[next++];
+      const uint64_t attempt = chunk.tasks[i].attempt + 1;
+      const TaskRef ref{s.id, c.chunk * job.chunk_tasks + i};
+      change(ref, {Change::Kind::kPlace, w->name, attempt, w->room.block,
+                   basis(job, w->room.block)});
       ctx_.debug("placer", "task {} attempt {} goes to {} after {:.2f} s{}", task_name(ref),
-                 t.attempt + 1, r->machine->name, ctx_.now.wall - job.submitted,
-                 cached(*r->worker, s.image) ? "" : ", image not there");
+                 attempt, w->name, ctx_.now.wall - job.submitted,
+                 w->has_image(job.image) ? "" : ", image not there");
     }
+    if (here == 0) continue;
+    zones[w->room.zone] += here;
+    work_out_room(*w);
   }
+  if (next >= todo.size()) return;
+  const auto left = static_cast<uint32_t>(todo.size() - next);
+  if (s.priority > Priority::kIdle && evictions_ < kMaxEvictions)
+    if (make_room(job, left, workers, zones, only_zone, false) >= left) return;
+  if (!plain) return;
+  const bool smaller = known == unmet_.end() ||
+                       (s.cpus <= known->second.cpus && s.gpus <= known->second.gpus &&
+                        s.memory_gb <= known->second.memory);
+  if (smaller) unmet_[kind] = {s.cpus, s.gpus, s.memory_gb};
 }
 
 }  // namespace rooksill::core
--- a/src/rooksill/settings/settings.h
+++ b/src/rooksill/settings/settings.h
@@ -51,7 +51,7 @@
   double period_reports = 5;
   int periods = 3;
   double planned_cost = 1, unplanned_cost = 6, holding_cost = 1;
-  int ceiling = 32;
+  int ceiling = 0;  // 0: as many as the cloud gives
   double demand_cap = 3;
   double leader_ttl_reports = 0.7, peer_silence_reports = 0.6, machine_silence_reports = 1.5;
 };
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -11,9 +11,13 @@
   last_ = now;
 }
 
-bool RateLimit::take(double n) {
+bool RateLimit::has(double n, double reserve) const {
   // A transaction larger than a whole second's worth goes out on a full bucket.
-  if (level_ < std::min(n, per_s_ * 0.95)) return false;
+  return level_ >= std::min(n + reserve * per_s_, per_s_ * 0.95);
+}
+
+bool RateLimit::take(double n) {
+  if (!has(n)) return false;
   level_ -= n;
   return true;
 }
@@ -71,9 +75,10 @@
 }
 
 bool Client::txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done) {
-  double puts = static_cast<double>(writes.size());
-  if (!requests_.take(1)) return false;
-  if (puts > 0 && !writes_.take(puts)) return false;
+  const double puts = static_cast<double>(writes.size());
+  if (!room_for(puts, 0)) return false;
+  requests_.take(1);
+  if (puts > 0) writes_.take(puts);
   json g = json::array(), w = json::array();
   for (const auto& x : guards) g.push_back({{"k", x.key}, {"stamp", x.stamp}});
   for (auto& x : writes) {
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -53,6 +53,8 @@
   explicit RateLimit(double per_s) : per_s_(per_s), level_(per_s) {}
   void set_rate(double per_s) { per_s_ = per_s; }
   void refill(double now);
+  // `reserve`: part of the bucket that is left to whoever comes with more right.
+  bool has(double n, double reserve = 0) const;
   bool take(double n);
   void drain() { level_ = 0; }
 
@@ -70,6 +72,10 @@
   using TxnDone = std::function<void(const TxnResult&)>;
   using ReadDone = std::function<void(const ReadResult&)>;
 
+  // Whether a transaction of so many writes would go out now and leave that part of the limits.
+  bool room_for(double writes, double reserve) const {
+    return requests_.has(1, reserve) && (writes <= 0 || writes_.has(writes, reserve));
+  }
   // False when the limits leave no room just now; nothing was sent then.
   bool txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done);
   bool read(const std::string& key, ReadDone done);
--- a/src/rooksill/state/committer.cc
+++ b/src/rooksill/state/committer.cc
@@ -16,6 +16,7 @@
                          for (const auto& w : copy) {
                            if (w.value.is_null()) {
                              replica_.remove(w.key, r.stamp);
+                             updates_.push_back({w.key, "", r.stamp});
                              continue;
                            }
                            replica_.apply(w.key, w.value, r.stamp);
--- a/src/rooksill/state/syncer.cc
+++ b/src/rooksill/state/syncer.cc
@@ -7,14 +7,20 @@
 using nlohmann::json;
 
 namespace {
-constexpr int kPage = 300;
-constexpr double kPause = 0.05;  // between two watches: each is a request
+constexpr int kPage = 1000;          // the protocol's most
+constexpr double kWatchShare = 0.2;  // part of this node's requests that watches may take
 constexpr double kRetry = 0.3;   // after an error
 // A watch is short: one whose answer is lost keeps this node blind for as long as it is waited for.
 constexpr double kWatchReports = 0.33;
 constexpr double kWatchPatience = 0.6;  // s beyond that
 }  // namespace
 
+// Between two watches: each is a request, and a busy state service answers each at once.
+double Syncer::pause() const {
+  const auto& p = ctx_.settings.platform;
+  return p.controllers / (kWatchShare * p.state_rps);
+}
+
 void Syncer::tick() {
   if (busy_ || ctx_.now.steady < next_) return;
   if (listed_)
@@ -29,7 +35,7 @@
   if (after.empty()) path = "/store?starts=" + core::kPrefix + "&most=" + std::to_string(kPage);
   busy_ = client_.raw("GET", path, "", 2.0,
                       [this, after](const core::CallDone& d) { on_page(d, after); });
-  if (!busy_) next_ = ctx_.now.steady + kPause;
+  if (!busy_) next_ = ctx_.now.steady + pause();
 }
 
 void Syncer::on_page(const core::CallDone& done, const std::string& after) {
@@ -73,7 +79,7 @@
                            "&hold_ms=" + std::to_string(static_cast<int>(hold * 1000));
   busy_ = client_.raw("GET", path, "", hold + kWatchPatience,
                       [this](const core::CallDone& d) { on_watch(d); });
-  if (!busy_) next_ = ctx_.now.steady + kPause;
+  if (!busy_) next_ = ctx_.now.steady + pause();
 }
 
 void Syncer::on_watch(const core::CallDone& done) {
@@ -101,7 +107,7 @@
   epoch_ = std::max(epoch_, j["epoch"].get<uint64_t>());
   replica_.synced_epoch = std::max(replica_.synced_epoch, epoch_);
   last_sync_ = ctx_.now.steady;
-  next_ = ctx_.now.steady + kPause;
+  next_ = ctx_.now.steady + pause();
 }
 
 }  // namespace rooksill::state
--- a/src/rooksill/state/syncer.h
+++ b/src/rooksill/state/syncer.h
@@ -17,6 +17,7 @@
  private:
   void list(const std::string& after);
   void watch();
+  double pause() const;
   void on_page(const core::CallDone& done, const std::string& after);
   void on_watch(const core::CallDone& done);
 
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -469,9 +469,9 @@
   const std::string catalog =
       R"({"builds":[{"label":"g8","cores":96,"gpus":8,"memory_gb":768,"local_gb":200,"pull_gb_per_s":1.0,"hourly":12.0,"market_price":4.5,"ready_s":45,"wards":["a","b"]}]})";
   const std::string http = "POST /api/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello";
-  rooksill::net::Beat beat;
-  beat.machines.resize(2);
-  const std::string peer = rooksill::net::pack(beat);
+  rooksill::net::Views views;
+  views.machines.resize(2);
+  const std::string peer = rooksill::net::pack(views);
   for (const auto& l : lines) {
     if (l.word(0) == "kind") continue;
     const int rounds = static_cast<int>(l.get("rounds", 2000));
@@ -517,8 +517,8 @@
           if (parser.take().body.size() > 32) fail(l, "body over its bound");
         }
       } else {
-        rooksill::net::Beat b;
-        if (rooksill::net::unpack(text, b)) ++taken;
+        rooksill::net::Views v;
+        if (rooksill::net::unpack(text, v)) ++taken;
       }
       if (i == 0 && taken == 0) fail(l, "the whole message is not taken");
     }
