--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -12,12 +12,13 @@
 using state::Outcome;
 
 namespace {
-constexpr double kRetryAfter = 1;   // the shortest pause a user makes
-constexpr double kPatience = 1.5;   // below the 2 s that a user waits for a poll
+constexpr double kRetryAfter = 1;    // the shortest pause a user makes
+constexpr double kPatience = 1.5;    // below the 2 s that a user waits for a poll
 constexpr double kPollShare = 0.15;  // part of this node's requests that comparing polls may take
 constexpr double kCreationShare = 0.2;  // and creations
-constexpr size_t kMaxLookups = 64;  // reads of unknown ids under way
-constexpr int kMaxInFlight = 2;     // transactions of a kind under way
+constexpr double kKeptShare = 0.3;      // of a second's writes, kept for submissions that wait
+constexpr size_t kMaxLookups = 64;      // reads of unknown ids under way
+constexpr int kMaxInFlight = 2;         // transactions of a kind under way
 }  // namespace
 
 void Users::handle(const core::Request& r) {
@@ -44,7 +45,7 @@
 }
 
 void Users::later(uint64_t request) {
-  ctx_.debug("api", "request {} is put off", request);
+  ctx_.count("put_off");
   ctx_.reply(request, 503, encode_error("try again"), kRetryAfter);
 }
 
@@ -100,10 +101,8 @@
   }
   if (creations_.empty() || creating_ >= kMaxInFlight || ctx_.now.steady < next_creation_) return;
   // A group goes out at once; the limits decide how large it may be.
-  const size_t most = std::min<size_t>(
-      {ctx_.settings.platform.state_txn_ops, creations_.size(),
-       static_cast<size_t>(std::max(
-           1.0, ctx_.settings.platform.state_write_rps / ctx_.settings.platform.controllers / 2))});
+  size_t most = std::min(ctx_.settings.platform.state_txn_ops, creations_.size());
+  while (most > 1 && !client_.room_for(static_cast<double>(most), 0)) --most;
   std::vector<Creation> group;
   std::vector<state::Guard> guards;
   std::vector<state::Write> writes;
@@ -160,6 +159,7 @@
         }
       });
   if (!sent) return;
+  ctx_.count("creations", static_cast<double>(taken));
   next_creation_ = ctx_.now.steady + pause(kCreationShare);
   ++creating_;
   creations_.erase(creations_.begin(), creations_.begin() + static_cast<long>(taken));
@@ -271,6 +271,9 @@
 
 void Users::flush() {
   flush_creations();
+  const auto& p = ctx_.settings.platform;
+  client_.keep(std::min(static_cast<double>(creations_.size()),
+                        kKeptShare * p.state_write_rps / p.controllers));
   flush_polls();
 }
 
--- a/src/rooksill/api/users.h
+++ b/src/rooksill/api/users.h
@@ -18,6 +18,8 @@
   void handle(const core::Request& request);
   // Sends what is waiting; comes after reports and decisions.
   void flush();
+  size_t submissions() const { return creations_.size(); }
+  size_t polls() const { return polls_.size(); }
   std::vector<std::string> take_accepted() { return std::exchange(accepted_, {}); }
 
  private:
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -30,7 +30,7 @@
 constexpr int kMoveLooks = 48;               // tasks looked at for a move at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
-constexpr int kHiresAhead = 2;  // requests' worth of one offer that is waited for
+constexpr int kHiresAhead = 2;    // requests' worth of one offer that is waited for
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
 constexpr double kCallTimeout = 3;
 }  // namespace
@@ -685,7 +685,7 @@
         continue;
       --looks;
       if (!can_move(*job, *from, views)) continue;
-      ctx_.info("fleet", "task {} is moved off {}", core::task_name(ref), *at);
+      ctx_.debug("fleet", "task {} is moved off {}", core::task_name(ref), *at);
       moves_.push_back({ref.job, ref.index, replica_.task(ref)->attempt});
       --left;
     }
@@ -801,9 +801,13 @@
         continue;
       }
       const double rest = 1 - v->second.load;
-      Space kept{&type->second,           m->zone, m->spot,
-                 type->second.cpus * rest, type->second.gpus * rest,
-                 type->second.memory_gb * rest, m->block};
+      Space kept{&type->second,
+                 m->zone,
+                 m->spot,
+                 type->second.cpus * rest,
+                 type->second.gpus * rest,
+                 type->second.memory_gb * rest,
+                 m->block};
       const uint32_t before = count;
       fill(kept);
       if (count == before) {
--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -148,8 +148,8 @@
   }
   json out = json::array();
   for (auto& [kind, members] : groups)
-    out.push_back(json::array({std::get<0>(kind), std::get<1>(kind), std::get<2>(kind) ? 1 : 0,
-                               std::move(members)}));
+    out.push_back(json::array(
+        {std::get<0>(kind), std::get<1>(kind), std::get<2>(kind) ? 1 : 0, std::move(members)}));
   return json{{"g", std::move(out)}};
 }
 
--- a/src/rooksill/core/context.h
+++ b/src/rooksill/core/context.h
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <map>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -49,6 +50,9 @@
                        fmt::format(f, std::forward<Args>(args)...)});
   }
 
+  // What was done, by name; told at intervals in the log.
+  void count(const char* what, double n = 1) { counts[what] += n; }
+
   double uniform(double low, double high) {
     return std::uniform_real_distribution<double>(low, high)(rng);
   }
@@ -59,6 +63,7 @@
   std::mt19937_64 rng;
   uint64_t incarnation;
   bool debug_on = false;
+  std::map<std::string, double> counts;
 
  private:
   uint64_t next_call_ = 1;
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -144,8 +144,7 @@
     peers_.send(l.label, net::PeerKind::kViews, net::pack(message));
     message.machines.clear();
   }
-  if (!message.machines.empty())
-    peers_.send(l.label, net::PeerKind::kViews, net::pack(message));
+  if (!message.machines.empty()) peers_.send(l.label, net::PeerKind::kViews, net::pack(message));
 }
 
 void Core::send_beat() {
@@ -159,7 +158,23 @@
   peers_.broadcast(net::PeerKind::kBeat, net::pack(b));
 }
 
+// What this node did and what waits, once a period: enough to tell overload from trouble.
+void Core::tell_counts() {
+  const auto& s = ctx_.settings;
+  const double period = s.operators.period_reports * s.platform.report_s;
+  if (ctx_.now.steady < next_counts_) return;
+  if (next_counts_ > 0) {
+    std::string text;
+    for (const auto& [name, n] : ctx_.counts) text += fmt::format(" {} {:.1f}", name, n / period);
+    ctx_.info("load", "a second:{}; waiting: {} changes, {} submissions, {} polls, {} jobs", text,
+              holder_.queued(), users_.submissions(), users_.polls(), replica_.waiting_jobs.size());
+    ctx_.counts.clear();
+  }
+  next_counts_ = ctx_.now.steady + period;
+}
+
 void Core::tick() {
+  tell_counts();
   client_.tick(ctx_.now.steady, peers_.live());
   syncer_.tick();
   committer_.tick();
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -34,6 +34,7 @@
   void on_peer(const PeerMessage& m);
   void tick();
   void send_beat();
+  void tell_counts();
   void tell_views();
   void take_views(const std::string& label, std::vector<net::MachineView> machines);
   void forget_views();
@@ -52,7 +53,7 @@
   net::ViewMap views_;
   std::unordered_map<std::string, std::string> told_by_;  // machine -> label
   Leadership told_to_;  // the leader that all views of this node were told to
-  double next_beat_ = 0, next_leader_ = 0, next_scan_ = 0;
+  double next_beat_ = 0, next_leader_ = 0, next_scan_ = 0, next_counts_ = 0;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -20,8 +20,8 @@
 constexpr int kSuspectJob = 3;           // machines a job must fail on to be suspected itself
 constexpr int kSuspectMachine = 3;       // failures in a row that make a machine suspect
 constexpr double kMaxBackoffReports = 10;
-constexpr size_t kMaxOrders = 64;   // in one command
-constexpr size_t kTurns = 16;       // calls in which all views and addresses are told again
+constexpr size_t kMaxOrders = 64;    // in one command
+constexpr size_t kTurns = 16;        // calls in which all views and addresses are told again
 constexpr double kDeferReports = 1;  // results that complete nothing are gathered for so long
 constexpr double kTxnShare = 0.6;    // part of a second's writes that one transaction may take
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
@@ -219,6 +219,7 @@
     ctx_.info("holder", "machine {} has token {} above ours {}", w.name, r->token, w.token);
     return ctx_.reply(request, 421, "{}");
   }
+  ctx_.count("reports");
   w.address = r->address;
   take_report(w, *r);
   std::vector<Order> orders;
@@ -476,8 +477,7 @@
   return newest;
 }
 
-bool Holder::apply_change(const Job& job, const Chunk& chunk, TaskState& s,
-                          const Change& c) const {
+bool Holder::apply_change(const Job& job, const Chunk& chunk, TaskState& s, const Change& c) const {
   if (!holds(c.block)) return false;
   if (c.kind == Change::Kind::kPlace) {
     if (job.over() || !replica_.waits(s) || s.attempt + 1 != c.attempt) return false;
@@ -517,7 +517,7 @@
   size_t bytes = 0;
   auto may_add = [&](int rank) {
     const double reserve = rank == 0 ? 0 : rank < kGathered ? kDecisionReserve : kGatheredReserve;
-    return client_.room_for(static_cast<double>(writes.size()) + 1, reserve);
+    return client_.room_for(static_cast<double>(writes.size()) + 1 + client_.kept(), reserve);
   };
   for (auto q = queue_.begin(); q != queue_.end();) {
     const auto [rank, since] = q->first;
@@ -592,6 +592,8 @@
       keys.push_back(job_key(id.first));
     }
     unqueue(id, work);
+    ctx_.count(rank == 0 ? "results" : rank < kGathered ? "decisions" : "gathered");
+    ctx_.count("tasks", static_cast<double>(work.waiting.size()));
     work.sent = std::move(work.waiting);
     work.waiting.clear();
     work.busy = true;
@@ -644,10 +646,12 @@
     }
     case Outcome::kRefused:
     case Outcome::kNoLease:
+      ctx_.count("refused");
       backoff_until_ = ctx_.now.steady + kBackoff;
       send_again(chunks);
       return;
     case Outcome::kConflict:
+      ctx_.count("conflicts", static_cast<double>(chunks.size()));
       ctx_.debug("holder", "transaction of {} chunks failed on {}", chunks.size(),
                  result.failed.empty() ? "" : result.failed.front());
       committer_.refresh(result.failed, [this, chunks] {
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -88,6 +88,7 @@
   // What changed since the last call, and some others in turn; everything if `all`.
   std::vector<net::MachineView> take_views(bool all);
   std::vector<net::Address> take_addresses();
+  size_t queued() const { return queue_.size(); }
   bool holds(int block) const;
   bool suspects_itself() const { return suspects_itself_; }
   bool backing_off(const std::string& job) const;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -16,9 +16,9 @@
 namespace {
 constexpr double kSafety = 0.9;        // part of a lease's time that its owner counts on
 constexpr double kRerouteReports = 1;  // how long a chunk waits in a block before another is tried
-constexpr size_t kTurnJobs = 20;         // waiting jobs whose routes are looked at with each tick
+constexpr size_t kTurnJobs = 20;       // waiting jobs whose routes are looked at with each tick
 constexpr size_t kTurnsPerReroute = 10;  // or such a part of them
-constexpr double kSettleReports = 2;   // how long a peer must be back before it holds blocks again
+constexpr double kSettleReports = 2;  // how long a peer must be back before it holds blocks again
 }  // namespace
 
 Leader::Leader(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
@@ -332,9 +332,10 @@
     }
     double fit = 0;
     for (const auto& [zone, n] : per_zone)
-      fit += s.spread ? std::min(n, static_cast<double>(most_in_zone) -
-                                        std::min(zones[zone], most_in_zone))
-                      : n;
+      fit +=
+          s.spread
+              ? std::min(n, static_cast<double>(most_in_zone) - std::min(zones[zone], most_in_zone))
+              : n;
     score[b] +=
         10 * std::min(fit, wanted) + 5 * std::min(cached, wanted) + 0.01 * std::min(fit, 100.0);
     // Among equals, jobs are dealt out evenly.
@@ -509,8 +510,7 @@
   // Those that found no room are looked at again in turn: a part of them with each tick.
   std::set<std::string> turn;
   auto from = replica_.waiting_jobs.upper_bound(last_routed_);
-  const size_t part =
-      std::max<size_t>(kTurnJobs, replica_.waiting_jobs.size() / kTurnsPerReroute);
+  const size_t part = std::max<size_t>(kTurnJobs, replica_.waiting_jobs.size() / kTurnsPerReroute);
   for (; from != replica_.waiting_jobs.end() && turn.size() < part; ++from) turn.insert(*from);
   last_routed_ = from == replica_.waiting_jobs.end() ? "" : *turn.rbegin();
   route(turn);
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -28,8 +28,8 @@
 Replica::Replica(const PlatformSettings& settings)
     : leases(static_cast<size_t>(settings.controllers)),
       pages(static_cast<size_t>(settings.controllers)),
-      items_per_value_(static_cast<uint32_t>(
-          std::max<size_t>(1, settings.state_value_bytes / kItemBytes))) {}
+      items_per_value_(
+          static_cast<uint32_t>(std::max<size_t>(1, settings.state_value_bytes / kItemBytes))) {}
 
 Job* Replica::job(const std::string& id) {
   auto it = jobs.find(id);
@@ -211,8 +211,7 @@
   if (job.spec.shape == Shape::kService) l.replica_cpus -= job.spec.cpus;
 }
 
-void Replica::apply_chunk(Job& j, uint32_t index_of, std::vector<TaskState> tasks,
-                          uint64_t stamp) {
+void Replica::apply_chunk(Job& j, uint32_t index_of, std::vector<TaskState> tasks, uint64_t stamp) {
   Chunk& c = j.chunks[index_of];
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const TaskState& was = c.tasks[i];
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -126,7 +126,8 @@
   const Room& r = w.room;
   if (r.spot && !s.spot) return false;
   if (!s.zone.empty() && s.zone != r.zone) return false;
-  return s.types.empty() || std::find(s.types.begin(), s.types.end(), r.type->name) != s.types.end();
+  return s.types.empty() ||
+         std::find(s.types.begin(), s.types.end(), r.type->name) != s.types.end();
 }
 
 bool Holder::fits(const JobSpec& s, double cpus, double gpus, double memory) {
@@ -151,12 +152,10 @@
   if (limits == p.teams.end()) return 0;
   const int blocks = static_cast<int>(replica_.leases.size());
   if (!gpus)
-    return it->second =
-               placement::granted_cpus(ctx_.settings, replica_.types, team, block, blocks);
+    return it->second = placement::granted_cpus(ctx_.settings, replica_.types, team, block, blocks);
   double biggest = 0;
   for (const auto& [n, t] : replica_.types) biggest = std::max(biggest, t.gpus);
-  return it->second =
-             placement::granted(limits->second.gpus_max, 2 * biggest, team, block, blocks);
+  return it->second = placement::granted(limits->second.gpus_max, 2 * biggest, team, block, blocks);
 }
 
 bool Holder::within_limit(const JobSpec& s, int block) {
@@ -395,8 +394,8 @@
   // Where no smaller need was met, this one will not be.
   const bool plain =
       s.zone.empty() && s.types.empty() && !s.spread && !s.one_zone && s.shape != Shape::kGang;
-  const int kind = (s.spot ? 1 : 0) + (s.checkpoint_s > 0 ? 2 : 0) +
-                   4 * static_cast<int>(s.priority);
+  const int kind =
+      (s.spot ? 1 : 0) + (s.checkpoint_s > 0 ? 2 : 0) + 4 * static_cast<int>(s.priority);
   auto known = unmet_.find(kind);
   if (plain && known != unmet_.end() && s.cpus >= known->second.cpus &&
       s.gpus >= known->second.gpus && s.memory_gb >= known->second.memory)
@@ -460,14 +459,14 @@
       todo.resize(todo.size() - made);
       if (next >= todo.size()) return;
     }
-    const uint32_t here = std::min({slots(s, *w), zone_left(w->room.zone),
-                                    static_cast<uint32_t>(todo.size() - next)});
+    const uint32_t here = std::min(
+        {slots(s, *w), zone_left(w->room.zone), static_cast<uint32_t>(todo.size() - next)});
     for (uint32_t k = 0; k < here; ++k) {
       const uint32_t i = todo[next++];
       const uint64_t attempt = chunk.tasks[i].attempt + 1;
       const TaskRef ref{s.id, c.chunk * job.chunk_tasks + i};
-      change(ref, {Change::Kind::kPlace, w->name, attempt, w->room.block,
-                   basis(job, w->room.block)});
+      change(ref,
+             {Change::Kind::kPlace, w->name, attempt, w->room.block, basis(job, w->room.block)});
       ctx_.debug("placer", "task {} attempt {} goes to {} after {:.2f} s{}", task_name(ref),
                  attempt, w->name, ctx_.now.wall - job.submitted,
                  w->has_image(job.image) ? "" : ", image not there");
@@ -481,9 +480,9 @@
   if (s.priority > Priority::kIdle && evictions_ < kMaxEvictions)
     if (make_room(job, left, workers, zones, only_zone, false) >= left) return;
   if (!plain) return;
-  const bool smaller = known == unmet_.end() ||
-                       (s.cpus <= known->second.cpus && s.gpus <= known->second.gpus &&
-                        s.memory_gb <= known->second.memory);
+  const bool smaller =
+      known == unmet_.end() || (s.cpus <= known->second.cpus && s.gpus <= known->second.gpus &&
+                                s.memory_gb <= known->second.memory);
   if (smaller) unmet_[kind] = {s.cpus, s.gpus, s.memory_gb};
 }
 
--- a/src/rooksill/policy/sizing.cc
+++ b/src/rooksill/policy/sizing.cc
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr int kTrapezoids = 8;
-constexpr int kGridPoints = 32;    // the backward pass' states along x and y; fewer machines: all
-constexpr double kSigmas = 6;      // what lies further from a mean has no weight
-constexpr double kFewest = 12;     // and at least so many values to each side of it
+constexpr int kGridPoints = 32;  // the backward pass' states along x and y; fewer machines: all
+constexpr double kSigmas = 6;    // what lies further from a mean has no weight
+constexpr double kFewest = 12;   // and at least so many values to each side of it
 
 // The values of a distribution between `low` and `low + p.size()`, zero elsewhere.
 struct Window {
@@ -97,8 +97,8 @@
   return unplanned_row(t, y, rented, mu, lambda)[static_cast<size_t>(rented)];
 }
 
-// The backward pass runs on a grid of x and y; with few machines its points are all of them. E[v] is
-// the paper's at each point, and the decision of the present period is made over every whole u.
+// The backward pass runs on a grid of x and y; with few machines its points are all of them. E[v]
+// is the paper's at each point, and the decision of the present period is made over every whole u.
 SizingResult size_fleet(const SizingInput& in) {
   const int r = std::max({in.ceiling, in.x, static_cast<int>(std::ceil(in.y)), 1});
   const int step = (r + kGridPoints - 1) / kGridPoints;
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -76,6 +76,9 @@
   bool room_for(double writes, double reserve) const {
     return requests_.has(1, reserve) && (writes <= 0 || writes_.has(writes, reserve));
   }
+  // Writes that are left to submissions, which come last and would otherwise never come.
+  void keep(double writes) { kept_ = writes; }
+  double kept() const { return kept_; }
   // False when the limits leave no room just now; nothing was sent then.
   bool txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done);
   bool read(const std::string& key, ReadDone done);
@@ -94,7 +97,7 @@
   const PlatformSettings& settings_;
   CallFn call_;
   RateLimit requests_, writes_;
-  double now_ = 0, last_answer_ = 0, last_failure_ = -1;
+  double now_ = 0, last_answer_ = 0, last_failure_ = -1, kept_ = 0;
 };
 
 }  // namespace rooksill::state
--- a/src/rooksill/state/syncer.cc
+++ b/src/rooksill/state/syncer.cc
@@ -9,7 +9,7 @@
 namespace {
 constexpr int kPage = 1000;          // the protocol's most
 constexpr double kWatchShare = 0.2;  // part of this node's requests that watches may take
-constexpr double kRetry = 0.3;   // after an error
+constexpr double kRetry = 0.3;       // after an error
 // A watch is short: one whose answer is lost keeps this node blind for as long as it is waited for.
 constexpr double kWatchReports = 0.33;
 constexpr double kWatchPatience = 0.6;  // s beyond that
