--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -30,6 +30,7 @@
 constexpr int kMoveLooks = 48;               // tasks looked at for a move at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
+constexpr double kRentReports = 0.6;  // between two on-demand rentals of one offer
 constexpr int kHiresAhead = 2;    // requests' worth of one offer that is waited for
 constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
 constexpr double kCallTimeout = 3;
@@ -104,6 +105,7 @@
   unexpected_.clear();
   writing_.clear();
   listing_busy_ = catalog_busy_ = list_seen_ = false;
+  list_after_.clear();
   next_list_ = next_catalog_ = 0;
   // What was measured while following is used from the first full period on.
   next_period_ = std::max(next_measure_, ctx_.now.steady + ctx_.settings.platform.report_s);
@@ -157,30 +159,38 @@
   });
 }
 
-void Fleet::fetch_list(const std::string& after) {
+// Page by page. A page that the limit or the cloud refuses is asked for again: a list begun anew
+// each time would never come to its end where it takes more calls than a second allows.
+void Fleet::fetch_list() {
   std::string path = "/hosts?most=500";
-  if (!after.empty()) path = "/hosts?from=" + after + "&most=500";
-  if (after.empty()) listing_.clear();
+  if (!list_after_.empty()) path = "/hosts?from=" + list_after_ + "&most=500";
+  if (list_after_.empty()) listing_.clear();
+  const auto& p = ctx_.settings.platform;
   listing_busy_ = cloud_call("GET", path, "", kCallTimeout, [this](const core::CallDone& d) {
     listing_busy_ = false;
-    const double report = ctx_.settings.platform.report_s;
+    const auto& settings = ctx_.settings.platform;
     auto page = d.status == 200 ? parse_list(d.body) : std::nullopt;
     if (!page) {
-      next_list_ = ctx_.now.steady + report / 2;
+      next_list_ = ctx_.now.steady + settings.report_s / 2;
       return;
     }
     listing_.insert(listing_.end(), page->machines.begin(), page->machines.end());
-    if (page->more && !page->machines.empty()) return fetch_list(page->machines.back().name);
-    next_list_ = ctx_.now.steady + report;
+    if (page->more && !page->machines.empty()) {
+      list_after_ = page->machines.back().name;
+      return;
+    }
+    list_after_.clear();
+    // Asked for more often than it changes, it would take the calls that rentals need.
+    next_list_ = ctx_.now.steady + std::max(settings.report_s, settings.cloud_list_lag_s / 2);
     on_list();
   });
-  if (!listing_busy_) next_list_ = ctx_.now.steady + ctx_.settings.platform.report_s / 3;
+  if (!listing_busy_) next_list_ = ctx_.now.steady + 1 / p.cloud_rps;
 }
 
 void Fleet::on_list() {
   list_seen_ = true;
   const double lag = ctx_.settings.platform.cloud_list_lag_s;
-  std::map<std::string, int> unexpected;
+  std::map<std::string, double> unexpected;  // since when it has been listed
   for (const auto& m : listing_) {
     if (!m.address.empty()) addresses_[m.name] = m.address;
     if (gone_.count(m.name) != 0 || to_deal_.count(m.name) != 0) continue;
@@ -190,8 +200,10 @@
     }
     // Rented by a request whose answer was lost, or carried out late; or gone and still listed.
     // It is taken in once it has been listed for longer than a list can lag.
-    const int seen = unexpected[m.name] = unexpected_[m.name] + 1;
-    if (seen * ctx_.settings.platform.report_s < 2 * lag) continue;
+    auto known = unexpected_.find(m.name);
+    const double since = known != unexpected_.end() ? known->second : ctx_.now.steady;
+    unexpected[m.name] = since;
+    if (ctx_.now.steady - since < 2 * lag) continue;
     if (m.failed) {
       release(m.name, "unexpected and failed");
     } else {
@@ -730,7 +742,7 @@
   for (const auto& w : waiting) least = std::min(least, w.job->spec.cpus);
   std::erase_if(rooms, [&](const Space& r) { return r.cpus + 1e-9 < least; });
   std::map<Offer, int> wanted, homes;
-  const double pause = ctx_.settings.platform.report_s;
+  const double pause = kRentReports * ctx_.settings.platform.report_s;
   // What waits in all, by whether it may use cheap machines: a machine is chosen to hold that, not
   // one job alone.
   std::map<bool, double> left;
@@ -883,7 +895,7 @@
   send_releases();
   fetch_catalog();
   send_hires();
-  if (!listing_busy_ && now >= next_list_) fetch_list("");
+  if (!listing_busy_ && now >= next_list_) fetch_list();
   if (now >= next_on_demand_ && !replica_.types.empty()) {
     next_on_demand_ = now + ctx_.settings.platform.report_s / 3;
     rent_for_waiting(views, waiting);
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -63,7 +63,7 @@
   bool cloud_call(const std::string& method, const std::string& path, const std::string& body,
                   double timeout_s, core::CallHandler handler);
   void fetch_catalog();
-  void fetch_list(const std::string& after);
+  void fetch_list();
   void on_list();
   void send_hires();
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
@@ -134,7 +134,8 @@
   std::vector<net::Move> moves_;
   std::map<std::string, std::string> addresses_;
   std::vector<ListedMachine> listing_;
-  std::map<std::string, int> unexpected_;
+  std::map<std::string, double> unexpected_;
+  std::string list_after_;  // how far the list has been read
   std::set<std::pair<int, int>> writing_;  // block and page
   std::map<std::string, Zone> zones_;
   std::string last_moved_;
