--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -24,15 +24,17 @@
 constexpr double kFloorTasks = 2;            // replicas' worth of room that a zone keeps
 constexpr double kFloorMachines = 1;         // and of what the fullest machine there has
 constexpr double kSilentPauseReports = 1.5;  // between releases of silent machines with replicas
+constexpr double kSilentPart = 0.05;         // of all machines that are released at a time
 constexpr double kSilentLease = 0.5;         // part of a lease that the last of them may wait
 constexpr int kTasksMoved = 3;               // tasks of arrays moved at a time, and
 constexpr double kMovedPart = 0.02;          // for each machine there is
 constexpr int kMoveLooks = 48;               // tasks looked at for a move at a time
+constexpr int kZoneLeast = 4;  // machines in a zone below which their silence says nothing of it
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr double kRentReports = 0.6;  // between two on-demand rentals of one offer
-constexpr int kHiresAhead = 2;    // requests' worth of one offer that is waited for
-constexpr int kMostRefusals = 4;  // after which patience with a refusing cloud grows no more
+constexpr int kHiresAhead = 2;        // requests' worth of one offer that is waited for
+constexpr int kMostRefusals = 4;      // after which patience with a refusing cloud grows no more
 constexpr double kCallTimeout = 3;
 }  // namespace
 
@@ -106,6 +108,7 @@
   writing_.clear();
   listing_busy_ = catalog_busy_ = list_seen_ = false;
   list_after_.clear();
+  shut_until_.clear();
   next_list_ = next_catalog_ = 0;
   // What was measured while following is used from the first full period on.
   next_period_ = std::max(next_measure_, ctx_.now.steady + ctx_.settings.platform.report_s);
@@ -228,6 +231,8 @@
 // ---- rentals -------------------------------------------------------------------------------
 
 bool Fleet::open(const Offer& offer) const {
+  auto shut = shut_until_.find(offer.zone);
+  if (shut != shut_until_.end() && shut->second > ctx_.now.steady) return false;
   auto it = refused_until_.find(offer);
   return it == refused_until_.end() || it->second <= ctx_.now.steady;
 }
@@ -433,19 +438,52 @@
   if (sent) release_sent_.insert(names.begin(), names.end());
 }
 
-// Several machines with replicas that fall silent together are released one after the other: what
-// the first one's replicas bring to their new machines lets the next one's start at once, and until
+// Several machines with replicas that fall silent together are released some at a time: what the
+// first ones' replicas bring to their new machines lets the next ones' start at once, and until
 // then those may still be serving. Past most of the lease they are about to be killed anyway.
 bool Fleet::may_release_silent(const std::string& name) {
   const double now = ctx_.now.steady;
   const auto& p = ctx_.settings.platform;
   if (replica_.load(name).replica_cpus <= 0 || releasing_.count(name) != 0) return true;
   const double since = silent_since_.emplace(name, now).first->second;
-  if (now < next_silent_release_ && now - since < kSilentLease * p.lease_s) return false;
-  next_silent_release_ = now + kSilentPauseReports * p.report_s;
+  if (now >= next_silent_release_) {
+    next_silent_release_ = now + kSilentPauseReports * p.report_s;
+    silent_left_ =
+        std::max(1, static_cast<int>(kSilentPart * static_cast<double>(replica_.machines.size())));
+  }
+  if (silent_left_ <= 0 && now - since < kSilentLease * p.lease_s) return false;
+  --silent_left_;
   return true;
 }
 
+// A zone of which most machines are silent is cut off: what is rented there would not be heard of
+// either, and is rented elsewhere. Now and then a rental shows whether that is over.
+void Fleet::watch_zones(const net::ViewMap& views) {
+  std::map<std::string, std::pair<int, int>> seen;  // silent or late, of all
+  for (const auto& [name, m] : replica_.machines) {
+    auto v = views.find(name);
+    auto type = replica_.types.find(m.type);
+    if (v == views.end() || type == replica_.types.end()) continue;
+    const double age = ctx_.now.wall - m.rented;
+    if (!v->second.up && age < kLateBoot * type->second.boot_s) continue;
+    auto& [silent, all] = seen[m.zone];
+    ++all;
+    if (v->second.silent || !v->second.up) ++silent;
+  }
+  int shut = 0;
+  for (const auto& [zone, n] : seen) shut += n.second >= kZoneLeast && n.first * 2 > n.second;
+  // All of them at once: likelier the controllers' own trouble.
+  if (shut == 0 || shut == static_cast<int>(seen.size())) return;
+  for (const auto& [zone, n] : seen) {
+    if (n.second < kZoneLeast || n.first * 2 <= n.second) continue;
+    double& until = shut_until_[zone];
+    if (until <= ctx_.now.steady)
+      ctx_.info("fleet", "zone {}: {} of {} machines silent, nothing is rented there", zone,
+                n.first, n.second);
+    until = ctx_.now.steady + ctx_.settings.platform.lease_s;
+  }
+}
+
 void Fleet::judge(const net::ViewMap& views, const std::set<int>& suspect_blocks) {
   for (const auto& [name, m] : replica_.machines) {
     if (to_drop_.count(name) != 0) continue;
@@ -891,6 +929,7 @@
   std::erase_if(gone_, [&](const auto& g) {
     return now - g.second > 4 * ctx_.settings.platform.cloud_list_lag_s + 30;
   });
+  watch_zones(views);
   judge(views, suspect_blocks);
   send_releases();
   fetch_catalog();
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -69,6 +69,7 @@
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
   void deal(const std::vector<std::string>& names, const Offer& offer, int block = -1);
   void write_machines();
+  void watch_zones(const net::ViewMap& views);
   bool may_release_silent(const std::string& name);
   void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
@@ -135,13 +136,15 @@
   std::map<std::string, std::string> addresses_;
   std::vector<ListedMachine> listing_;
   std::map<std::string, double> unexpected_;
-  std::string list_after_;  // how far the list has been read
+  std::string list_after_;                 // how far the list has been read
   std::set<std::pair<int, int>> writing_;  // block and page
   std::map<std::string, Zone> zones_;
+  std::map<std::string, double> shut_until_;  // zones that are cut off
   std::string last_moved_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
   double next_on_demand_ = 0, next_move_ = 0, next_silent_release_ = 0;
+  int silent_left_ = 0;  // how many more may be released before that
   std::map<std::string, double> silent_since_;
 };
 
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -405,13 +405,15 @@
 
 // ---- changes of state ----------------------------------------------------------------------
 
-bool Holder::changing(const TaskRef& task) const {
+const Holder::Change* Holder::change_of(const TaskRef& task) const {
   const Job* job = replica_.job(task.job);
-  if (job == nullptr) return false;
+  if (job == nullptr) return nullptr;
   auto it = work_.find({task.job, task.index / job->chunk_tasks});
-  if (it == work_.end()) return false;
+  if (it == work_.end()) return nullptr;
   const uint32_t i = task.index % job->chunk_tasks;
-  return it->second.waiting.count(i) != 0 || it->second.sent.count(i) != 0;
+  for (const auto* changes : {&it->second.sent, &it->second.waiting})
+    if (auto c = changes->find(i); c != changes->end()) return &c->second;
+  return nullptr;
 }
 
 void Holder::change(const TaskRef& task, Change c) {
@@ -425,7 +427,15 @@
   const ChunkId id{task.job, task.index / job->chunk_tasks};
   ChunkWork& work = work_[id];
   if (work.waiting.empty()) work.since = ctx_.now.steady;
-  work.waiting.insert({task.index % job->chunk_tasks, std::move(c)});
+  const uint32_t index = task.index % job->chunk_tasks;
+  // A task that has ended somewhere and found another place already: one change says both.
+  auto before = work.waiting.find(index);
+  if (c.kind == Change::Kind::kPlace && before != work.waiting.end() &&
+      before->second.kind == Change::Kind::kLost) {
+    c.from = before->second.machine;
+    work.waiting.erase(before);
+  }
+  work.waiting.insert({index, std::move(c)});
   if (!work.busy) queue(id, work);
 }
 
@@ -444,19 +454,18 @@
   const Job* job = replica_.job(id.first);
   if (job == nullptr || work.waiting.empty()) return;
   uint32_t done = job->done;
-  bool lost = false, places = false, leaving = false;
+  bool decided = false, leaving = false;
   for (const auto& [i, c] : work.waiting) {
     done += c.kind == Change::Kind::kDone ? 1 : 0;
-    lost = lost || c.kind == Change::Kind::kLost;
-    places = places || c.kind == Change::Kind::kPlace;
+    decided = decided || c.kind != Change::Kind::kDone;
     // The result would be lost with the machine.
     auto w = workers_.find(c.machine);
     leaving = leaving || (w != workers_.end() && w->second.notice_until);
   }
   int rank = kGathered;
-  if (lost || leaving || done >= job->spec.tasks)
+  if (leaving || done >= job->spec.tasks)
     rank = 0;
-  else if (places)
+  else if (decided)
     rank = 1 + static_cast<int>(Priority::kProd) - static_cast<int>(job->spec.priority);
   work.queued = Rank{rank, work.since};
   queue_.insert({*work.queued, id});
@@ -480,11 +489,13 @@
 bool Holder::apply_change(const Job& job, const Chunk& chunk, TaskState& s, const Change& c) const {
   if (!holds(c.block)) return false;
   if (c.kind == Change::Kind::kPlace) {
-    if (job.over() || !replica_.waits(s) || s.attempt + 1 != c.attempt) return false;
+    const bool reported_gone = !c.from.empty() && !s.done && s.machine == c.from;
+    if (job.over() || (!reported_gone && !replica_.waits(s)) || s.attempt + 1 != c.attempt)
+      return false;
     if (replica_.machine_gone(c.machine) || c.basis != basis(job, c.block)) return false;
     // Taken from a machine that is in no list: only if the lists are known as far as this chunk.
     // With older lists, a machine just dealt would look gone.
-    if (!s.machine.empty() && !replica_.lists_cover(chunk)) return false;
+    if (!s.machine.empty() && !reported_gone && !replica_.lists_cover(chunk)) return false;
     s.machine = c.machine;
     s.attempt = c.attempt;
     return true;
@@ -517,7 +528,8 @@
   size_t bytes = 0;
   auto may_add = [&](int rank) {
     const double reserve = rank == 0 ? 0 : rank < kGathered ? kDecisionReserve : kGatheredReserve;
-    return client_.room_for(static_cast<double>(writes.size()) + 1 + client_.kept(), reserve);
+    // The next chunk may end its job, which is a write more.
+    return client_.room_for(static_cast<double>(writes.size()) + 2 + client_.kept(), reserve);
   };
   for (auto q = queue_.begin(); q != queue_.end();) {
     const auto [rank, since] = q->first;
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -101,9 +101,10 @@
     uint64_t attempt = 0;
     int block = 0;       // whose lease guards it
     uint64_t basis = 0;  // of a placement: what it was decided on
+    std::string from;    // of a placement: the machine that reported the attempt before gone
   };
-  // In which order changes go out. Results that complete a job and losses first, then decisions by
-  // priority; results that complete nothing wait for writes to spare.
+  // In which order changes go out. Results that complete a job or would be lost first, then
+  // decisions and losses by priority; results that complete nothing wait for writes to spare.
   using Rank = std::pair<int, double>;
   struct ChunkWork {
     std::map<uint32_t, Change> waiting, sent;
@@ -138,7 +139,8 @@
   void attend(Worker& w);
 
   void change(const TaskRef& task, Change c);
-  bool changing(const TaskRef& task) const;
+  const Change* change_of(const TaskRef& task) const;
+  bool changing(const TaskRef& task) const { return change_of(task) != nullptr; }
   void queue(const ChunkId& id, ChunkWork& work);
   void unqueue(const ChunkId& id, ChunkWork& work);
   void drop_change(const ChunkId& id, uint32_t index, const Change& c);
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -163,11 +163,27 @@
   return p != nullptr ? p->incarnation : 0;
 }
 
-bool Leader::fit_to_hold(const std::string& label) const {
-  if (label == ctx_.settings.platform.label) return !holder_.suspects_itself();
-  if (!peers_.alive(label)) return false;
-  const net::Beat& b = peers_.find(label)->beat;
-  return b.ready && b.state_ok && !b.suspects_itself;
+bool Leader::fit_to_hold(const std::string& label) {
+  std::string why;
+  if (label == ctx_.settings.platform.label) {
+    if (holder_.suspects_itself()) why = "it suspects itself";
+  } else if (!peers_.alive(label)) {
+    why = "it is not heard";
+  } else {
+    const net::Beat& b = peers_.find(label)->beat;
+    if (!b.ready)
+      why = "its replica is not loaded";
+    else if (!b.state_ok)
+      why = "the state service does not answer it";
+    else if (b.suspects_itself)
+      why = "it suspects itself";
+  }
+  std::string& known = unfit_[label];
+  if (known != why) {
+    ctx_.info("leader", "{} is {}", label, why.empty() ? "fit to hold blocks" : "not fit: " + why);
+    known = why;
+  }
+  return why.empty();
 }
 
 void Leader::lease(int block, const std::string& label, uint64_t incarnation,
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -31,7 +31,7 @@
   void resign(const std::string& why);
   void lease_blocks();
   void lease(int block, const std::string& label, uint64_t incarnation, const std::string& why);
-  bool fit_to_hold(const std::string& label) const;
+  bool fit_to_hold(const std::string& label);
   uint64_t incarnation_of(const std::string& label) const;
   std::set<int> suspect_blocks();
   std::vector<cloud::Waiting> waiting();
@@ -63,6 +63,7 @@
   double valid_until_ = 0, next_renewal_ = 0, next_try_ = 0, vacant_since_ = 0;
   double next_full_routes_ = 0, next_sum_ = 0, term_started_ = 0;
   std::set<int> leasing_;
+  std::map<std::string, std::string> unfit_;  // controller -> why it holds no blocks
   std::map<int, double> gave_up_;  // block -> when it was last taken from a holder that saw silence
   struct Routed {
     int block = 0;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -353,7 +353,8 @@
     }
     if (job != nullptr) {
       const Chunk& c = job->chunks[it->second];
-      if (c.done + c.placed < c.tasks.size() && !backing_off(it->first))
+      const bool ended = work_.count(*it) != 0;  // and may have a place to find anew
+      if ((ended || c.done + c.placed < c.tasks.size()) && !backing_off(it->first))
         waiting.push_back({job, it->second, due_time(*job)});
     }
     ++it;
@@ -386,9 +387,13 @@
   std::vector<uint32_t> todo;
   for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
     const TaskState& t = chunk.tasks[i];
-    if (replica_.waits(t) && (t.machine.empty() || replica_.lists_cover(chunk)) &&
-        !changing({s.id, c.chunk * job.chunk_tasks + i}))
+    const Change* change = change_of({s.id, c.chunk * job.chunk_tasks + i});
+    if (change != nullptr) {
+      // Ended elsewhere, and not written yet: it may get its next place with the same change.
+      if (change->kind == Change::Kind::kLost && !work_.at({s.id, c.chunk}).busy) todo.push_back(i);
+    } else if (replica_.waits(t) && (t.machine.empty() || replica_.lists_cover(chunk))) {
       todo.push_back(i);
+    }
   }
   if (todo.empty()) return;
   // Where no smaller need was met, this one will not be.
@@ -410,9 +415,18 @@
       if (s.one_zone) only_zone = m->zone;
     };
     for (uint32_t k = 0; k < job.chunks.size(); ++k) {
-      for (const auto& t : job.chunks[k].tasks)
-        if (!t.machine.empty()) count(t.machine);
       auto work = work_.find({s.id, k});
+      const auto& tasks = job.chunks[k].tasks;
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].machine.empty()) continue;
+        // What has ended there is there no more, though that is not written yet.
+        auto ended = [&](const std::map<uint32_t, Change>& changes) {
+          auto it = changes.find(i);
+          return it != changes.end() && it->second.kind == Change::Kind::kLost;
+        };
+        if (work != work_.end() && ended(work->second.waiting)) continue;
+        count(tasks[i].machine);
+      }
       if (work == work_.end()) continue;
       for (const auto* changes : {&work->second.waiting, &work->second.sent})
         for (const auto& [i, change] : *changes)
