--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -22,6 +22,7 @@
 constexpr double kMinimumCharge = 60;        // the protocol: a machine that is deleted costs 60 s
 constexpr double kMoveReports = 0.4;         // pause between two moves of replicas, in reports
 constexpr double kFloorTasks = 2;            // replicas' worth of room that a zone keeps
+constexpr double kFloorPart = 0.1;           // and of what its replicas use
 constexpr double kFloorMachines = 1;         // and of what the fullest machine there has
 constexpr double kSilentPauseReports = 1.5;  // between releases of silent machines with replicas
 constexpr double kSilentPart = 0.05;         // of all machines that are released at a time
@@ -520,12 +521,13 @@
   for (const auto& [name, t] : replica_.types)
     for (const auto& z : t.zones) zones_[z];
   Zone& all = zones_[""];
-  std::map<std::string, double> largest;
+  std::map<std::string, double> largest, replicas;
   double fullest = 0;
   for (const auto& [name, m] : replica_.machines) {
     if (m.spot) continue;
     const auto& load = replica_.load(name);
     fullest = std::max(fullest, load.replica_cpus);
+    replicas[m.zone] += load.replica_cpus;
     if (load.replica_cpus > 0)
       for (const auto& ref : load.tasks) {
         const JobSpec& s = replica_.job(ref.job)->spec;
@@ -548,7 +550,10 @@
     zones_[h.offer.zone].room += h.count * type->second.cpus;
     all.room += h.count * type->second.cpus;
   }
-  for (const auto& [zone, cpus] : largest) zones_[zone].floor = kFloorTasks * cpus;
+  // Machines are lost by the dozen where there are hundreds, and a spread job's replicas have to
+  // come back in the zone that they were lost from.
+  for (const auto& [zone, cpus] : largest)
+    zones_[zone].floor = std::max(kFloorTasks * cpus, kFloorPart * replicas[zone]);
   all.floor = kFloorMachines * fullest;
 }
 
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -22,7 +22,7 @@
 constexpr double kMaxBackoffReports = 10;
 constexpr size_t kMaxOrders = 64;    // in one command
 constexpr size_t kTurns = 16;        // calls in which all views and addresses are told again
-constexpr double kDeferReports = 1;  // results that complete nothing are gathered for so long
+constexpr double kDeferReports = 3;  // results that complete nothing are gathered for so long
 constexpr double kTxnShare = 0.6;    // part of a second's writes that one transaction may take
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
