--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -166,8 +166,9 @@
   if (next_counts_ > 0) {
     std::string text;
     for (const auto& [name, n] : ctx_.counts) text += fmt::format(" {} {:.1f}", name, n / period);
-    ctx_.info("load", "a second:{}; waiting: {} changes, {} submissions, {} polls, {} jobs", text,
-              holder_.queued(), users_.submissions(), users_.polls(), replica_.waiting_jobs.size());
+    ctx_.info("load", "a second:{}; waiting: {} changes, {} submissions, {} polls, {} jobs; {}",
+              text, holder_.queued(), users_.submissions(), users_.polls(),
+              replica_.waiting_jobs.size(), holder_.summary());
     ctx_.counts.clear();
   }
   next_counts_ = ctx_.now.steady + period;
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -517,9 +517,9 @@
 void Holder::flush_group() {
   if (in_flight_ >= kMaxInFlight || queue_.empty() || ctx_.now.steady < backoff_until_) return;
   const auto& p = ctx_.settings.platform;
-  const double share = p.state_write_rps / p.controllers;
   const size_t most = std::max<size_t>(
-      2, std::min<size_t>(p.state_txn_ops, static_cast<size_t>(share * kTxnShare)));
+      2,
+      std::min<size_t>(p.state_txn_ops, static_cast<size_t>(client_.writes_per_s() * kTxnShare)));
   const double gather = kDeferReports * p.report_s;
   std::map<std::string, uint64_t> guards;
   std::vector<state::Write> writes;
@@ -605,7 +605,10 @@
     }
     unqueue(id, work);
     ctx_.count(rank == 0 ? "results" : rank < kGathered ? "decisions" : "gathered");
-    ctx_.count("tasks", static_cast<double>(work.waiting.size()));
+    for (const auto& [i, c] : work.waiting)
+      ctx_.count(c.kind == Change::Kind::kPlace  ? "tasks_placed"
+                 : c.kind == Change::Kind::kLost ? "tasks_lost"
+                                                 : "tasks_done");
     work.sent = std::move(work.waiting);
     work.waiting.clear();
     work.busy = true;
@@ -774,6 +777,29 @@
   place_wanted_ = true;
 }
 
+std::string Holder::summary() {
+  size_t reported = 0, taking = 0, sending = 0, placed = 0;
+  std::array<size_t, 4> phases{};
+  double cpus = 0, free = 0;
+  for (auto& [name, w] : workers_) {
+    const Room& room = room_of(w);
+    reported += w.reported ? 1 : 0;
+    sending += w.sending != 0 ? 1 : 0;
+    placed += replica_.placed_on(name).size();
+    for (const auto& t : w.tasks) ++phases[static_cast<size_t>(t.phase)];
+    if (!open(w)) continue;
+    ++taking;
+    cpus += room.type->cpus;
+    free += room.cpus;
+  }
+  return fmt::format(
+      "machines: {}, {} heard, {} taking tasks with {:.0f} of {:.0f} cores free, {} sent commands; "
+      "tasks: {} placed, reported {} fetching, {} running, {} saving, {} ended; chunks routed "
+      "here: {}",
+      workers_.size(), reported, taking, free, cpus, sending, placed, phases[0], phases[1],
+      phases[2], phases[3], routed_.size());
+}
+
 net::MachineView Holder::view(Worker& w) {
   const Room& room = room_of(w);
   net::MachineView v;
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -89,6 +89,7 @@
   std::vector<net::MachineView> take_views(bool all);
   std::vector<net::Address> take_addresses();
   size_t queued() const { return queue_.size(); }
+  std::string summary();  // of the machines held, for the log
   bool holds(int block) const;
   bool suspects_itself() const { return suspects_itself_; }
   bool backing_off(const std::string& job) const;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -287,6 +287,7 @@
         const TaskRef& ref = victim->second;
         ctx_.debug("placer", "task {} on {} is stopped to make room for {}", task_name(ref),
                    w->name, s.id);
+        ctx_.count("tasks_stopped");
         evicted_[ref] = replica_.task(ref)->attempt;
         stopped = true;
       }
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -26,14 +26,16 @@
     : settings_(settings),
       call_(std::move(call)),
       requests_(settings.state_rps / settings.controllers),
-      writes_(settings.state_write_rps / settings.controllers) {}
+      writes_(settings.state_write_rps / settings.controllers),
+      writes_per_s_(settings.state_write_rps / settings.controllers) {}
 
 void Client::tick(double now, int sharers) {
   now_ = now;
-  // Each live controller takes an equal share, less a margin for the others' drift.
-  double share = 0.95 / std::max(1, sharers);
+  // Less a margin for the others' clocks and views.
+  const double share = 0.95 / std::max(1, sharers);
+  writes_per_s_ = settings_.state_write_rps * share;
   requests_.set_rate(settings_.state_rps * share);
-  writes_.set_rate(settings_.state_write_rps * share);
+  writes_.set_rate(writes_per_s_);
   requests_.refill(now);
   writes_.refill(now);
 }
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -85,7 +85,9 @@
   bool raw(const std::string& method, const std::string& path, const std::string& body,
            double timeout_s, core::CallHandler done);
 
+  // The limits are the controllers' together: each live one takes an equal share.
   void tick(double now, int sharers);
+  double writes_per_s() const { return writes_per_s_; }
   double last_answer() const { return last_answer_; }
   double last_failure() const { return last_failure_; }
   // True while answers come.
@@ -97,7 +99,7 @@
   const PlatformSettings& settings_;
   CallFn call_;
   RateLimit requests_, writes_;
-  double now_ = 0, last_answer_ = 0, last_failure_ = -1, kept_ = 0;
+  double now_ = 0, last_answer_ = 0, last_failure_ = -1, kept_ = 0, writes_per_s_;
 };
 
 }  // namespace rooksill::state
