--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -197,6 +197,8 @@
     options_.write_rps = l.get("writes", options_.write_rps);
     options_.list_lag_s = l.get("lag", options_.list_lag_s);
     options_.cloud_rps = l.get("cloud", options_.cloud_rps);
+    options_.value_bytes = static_cast<size_t>(l.get("value", 8192));
+    options_.txn_ops = static_cast<size_t>(l.get("ops", 32));
   }
 
   int node_of(const std::string& word) {
@@ -306,6 +308,10 @@
     }
   }
 
+  static void at_most(const Line& l, uint64_t got) {
+    if (got > static_cast<uint64_t>(l.number_at(2))) fail(l, "got " + std::to_string(got));
+  }
+
   void expect(const Line& l) {
     const std::string what = l.word(1);
     World& w = world();
@@ -343,11 +349,16 @@
     } else if (what == "machines_at_least") {
       if (w.machines() < static_cast<int>(l.number_at(2)))
         fail(l, std::to_string(w.machines()) + " machines");
+    } else if (what == "writes_at_most") {
+      at_most(l, w.state().writes);
+    } else if (what == "requests_at_most") {
+      at_most(l, w.state().requests);
+    } else if (what == "peer_bytes_at_most") {
+      at_most(l, w.peer_bytes());
     } else if (what == "leader") {
       if (w.leader() < 0) fail(l, "nobody leads");
     } else if (what == "refused_at_most") {
-      if (w.state().refused > static_cast<uint64_t>(l.number_at(2)))
-        fail(l, std::to_string(w.state().refused) + " refused");
+      at_most(l, w.state().refused);
     } else {
       fail(l, "unknown expectation " + what);
     }
--- a/tests/standins/cloud.cc
+++ b/tests/standins/cloud.cc
@@ -6,7 +6,12 @@
 
 using nlohmann::json;
 
-std::string Cloud::listing() const {
+namespace {
+constexpr size_t kPage = 500;       // the protocol's most
+constexpr double kListEvery = 0.2;  // s between two states of the list
+}  // namespace
+
+json Cloud::listing() const {
   json list = json::array();
   for (const auto& [n, m] : machines) {
     if (m.gone) continue;
@@ -20,7 +25,27 @@
                                         : "booting"},
                     {"held_s", last_ - m.rented}});
   }
-  return json{{"perches", list}, {"truncated", false}}.dump();
+  return list;
+}
+
+std::string Cloud::page(const std::string& path) const {
+  auto word = [&](const std::string& name) -> std::string {
+    auto at = path.find(name + "=");
+    if (at == std::string::npos) return "";
+    at += name.size() + 1;
+    return path.substr(at, path.find('&', at) - at);
+  };
+  const std::string from = word("from");
+  const size_t most = word("most").empty() ? kPage : std::stoul(word("most"));
+  json list = json::array();
+  bool truncated = false;
+  for (const auto& m : lists_.front().second) {
+    if (m["id"].get<std::string>() <= from) continue;
+    truncated = list.size() >= std::min(most, kPage);
+    if (truncated) break;
+    list.push_back(m);
+  }
+  return json{{"perches", list}, {"truncated", truncated}}.dump();
 }
 
 void Cloud::tick(double now) {
@@ -37,7 +62,8 @@
   if (tokens_ < 0) tokens_ = 2 * rps_;
   tokens_ = std::min(2 * rps_, tokens_ + (now - last_) * rps_);
   last_ = now;
-  lists_.emplace_back(now, listing());
+  if (lists_.empty() || now - lists_.back().first >= kListEvery)
+    lists_.emplace_back(now, listing());
   while (lists_.size() > 1 && lists_[1].first <= now - lag_) lists_.pop_front();
 }
 
@@ -69,7 +95,7 @@
                       {"wards", t.zones}});
     return {200, json{{"builds", list}}.dump()};
   }
-  if (method == "GET") return {200, lists_.front().second};
+  if (method == "GET") return {200, page(path)};
   json j = json::parse(body, nullptr, false);
   if (!j.is_object()) return {400, "{}"};
   if (path == "/hosts/release") {
--- a/tests/standins/cloud.h
+++ b/tests/standins/cloud.h
@@ -43,11 +43,12 @@
   double cost = 0;
 
  private:
-  std::string listing() const;
+  nlohmann::json listing() const;
+  std::string page(const std::string& path) const;
   double rps_, lag_;
   double tokens_ = -1, last_ = 0;
   std::map<std::string, std::string> answers_;
-  std::deque<std::pair<double, std::string>> lists_;
+  std::deque<std::pair<double, nlohmann::json>> lists_;
   int next_ = 1;
 };
 
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -132,6 +132,7 @@
     f(r);
   }
   for (const auto& p : out.peer) {
+    peer_bytes_ += p.bytes.size();
     const int to = std::stoi(p.label.substr(1));
     double until = 0, until2 = 0;
     bool hold = false, hold2 = false;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -76,6 +76,7 @@
   int machines() const;
   int starts_of(const std::string& id) const;
   bool all_over() const;
+  uint64_t peer_bytes() const { return peer_bytes_; }
   int count_told(const std::string& what) const;
   const std::vector<std::string>& violations() const { return violations_; }
   void violate(const std::string& text);
@@ -139,6 +140,7 @@
   std::map<std::string, int> starts_;
   std::map<std::string, std::pair<double, double>> teams_;
   std::vector<std::string> violations_;
+  uint64_t peer_bytes_ = 0;  // between controllers
   double lose_chance_ = 0, late_chance_ = 0, late_s_ = 0;
 };
 
