Scenarios: a machine that is heard and does not hear, late copies of reports; drawn at random too

machine_deaf fails if probes never make a machine silent; late_copies (a task runs twice) if reports are not told apart by session and sequence.

--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -238,6 +238,10 @@
       world().cloud_outage(for_s);
     } else if (verb == "machine_cut") {
       world().machine_cut(static_cast<int>(l.get("count", 1)), for_s, hold);
+    } else if (verb == "machine_deaf") {
+      world().machine_deaf(static_cast<int>(l.get("count", 1)), for_s);
+    } else if (verb == "copies") {
+      world().late_copies(l.get("chance", 0.3), l.get("by", 20), for_s);
     } else if (verb == "machine_hang") {
       world().machine_hang(static_cast<int>(l.get("count", 1)), for_s);
     } else if (verb == "machine_fault") {
@@ -271,7 +275,7 @@
       const int node = static_cast<int>(rng() % static_cast<uint64_t>(options_.nodes));
       const bool hold = unit(rng) < 0.6;
       const double p = unit(rng);
-      const auto kind = rng() % 14;
+      const auto kind = rng() % 16;
       static const char* sides[] = {"state", "workers", "peers", "all"};
       const std::string side = sides[rng() % 4];
       world().at(t, [this, kind, node, for_s, hold, side, p] {
@@ -303,6 +307,10 @@
             return w.late_requests(0.1 + 0.4 * p, 1 + 5 * p, for_s);
           case 13:
             return w.take_spot(0.6, p < 0.5 ? 0 : 3);
+          case 14:
+            return w.machine_deaf(1 + static_cast<int>(p * 2), 2 * for_s);
+          case 15:
+            return w.late_copies(0.2 + 0.5 * p, 4 * for_s, for_s);
         }
       });
     }
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -184,6 +184,7 @@
     auto it = machines_.find(c.address.substr(0, c.address.find(':')));
     if (it == machines_.end() || it->second.worker->dead) return;  // silent
     machine = &it->second;
+    if (machine->deaf_until > now_) return;
     if (machine->cut_until > now_) {
       if (!machine->hold) return;
       when = machine->cut_until + latency();
@@ -358,6 +359,11 @@
     auto it = machines_.find(name);
     if (it != machines_.end()) it->second.worker->on_answer(now_, status, text, sent, session);
   };
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(rng_) < copy_chance_)
+    at(now_ + copy_s_ * chance(rng_), [this, body, to = static_cast<int>(rng_() % nodes_.size())] {
+      ask(to, "POST", "/agent/beat", body, 4, [](int, std::string, double) {});
+    });
   double until = 0;
   bool hold = false;
   double held_until = 0;
@@ -377,7 +383,8 @@
       [this, heard, name](int status, std::string text, double) {
         auto it = machines_.find(name);
         if (it == machines_.end()) return;
-        if (it->second.cut_until > now_) status = 0;  // the answer is lost to the cut
+        if (it->second.cut_until > now_ || it->second.deaf_until > now_)
+          status = 0;  // the answer is lost to the cut
         heard(status, text);
       });
 }
@@ -518,6 +525,21 @@
   }
 }
 
+void World::machine_deaf(int count, double for_s) {
+  for (auto& [name, m] : machines_) {
+    if (count <= 0) break;
+    if (m.worker->dead || m.deaf_until > now_) continue;
+    m.deaf_until = now_ + for_s;
+    --count;
+  }
+}
+
+void World::late_copies(double chance, double late_s, double for_s) {
+  copy_chance_ = chance;
+  copy_s_ = late_s;
+  at(now_ + for_s, [this] { copy_chance_ = 0; });
+}
+
 void World::machine_hang(int count, double for_s) {
   for (auto& [name, m] : machines_) {
     if (count <= 0) break;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -63,6 +63,8 @@
   void state_outage(double for_s);
   void cloud_outage(double for_s);
   void machine_cut(int count, double for_s, bool hold);
+  void machine_deaf(int count, double for_s);  // reports arrive, answers and commands do not
+  void late_copies(double chance, double late_s, double for_s);
   void machine_hang(int count, double for_s);
   void machine_fault(int count);
   void take_spot(double share, double notice_s);
@@ -100,7 +102,7 @@
   };
   struct Machine {
     std::unique_ptr<Worker> worker;
-    double cut_until = 0;
+    double cut_until = 0, deaf_until = 0;
     bool hold = false;
   };
 
@@ -141,6 +143,7 @@
   std::map<std::string, std::pair<double, double>> teams_;
   std::vector<std::string> violations_;
   uint64_t peer_bytes_ = 0;  // between controllers
+  double copy_chance_ = 0, copy_s_ = 0;
   double lose_chance_ = 0, late_chance_ = 0, late_s_ = 0;
 };
 
