After standing still, a controller starts nothing until the state was asked; sockets by budget

Changed: an answer later than its patience counts as none; after a pause no start goes out until a watch asked since was answered; the pause is nobody's silence. Connections that come in get 65% of the sockets, and are kept only below four fifths of that; commands and probes under way have parts of them; the longest idle goes first.

--- a/src/rooksill/core/context.h
+++ b/src/rooksill/core/context.h
@@ -22,16 +22,19 @@
             std::string body, double timeout_s, CallHandler handler) {
     Call c{next_call_++,    target,          std::move(address), std::move(method),
            std::move(path), std::move(body), timeout_s};
-    handlers_.emplace(c.id, std::move(handler));
+    handlers_.emplace(c.id, UnderWay{std::move(handler), now.steady + timeout_s + kLateAnswer});
     out.calls.push_back(std::move(c));
   }
 
   void finish(const CallDone& done) {
     auto it = handlers_.find(done.id);
     if (it == handlers_.end()) return;
-    CallHandler handler = std::move(it->second);
+    UnderWay call = std::move(it->second);
     handlers_.erase(it);
-    handler(done);
+    // Guards against a process that stood still: an answer that waited longer than it would have
+    // been waited for says what was true then, and nothing about now.
+    if (now.steady > call.until) return call.handler({done.id, 0, "", false});
+    call.handler(done);
   }
 
   void reply(uint64_t request, int status, std::string body, double retry_after_s = 0) {
@@ -62,12 +65,18 @@
   Effects out;
   std::mt19937_64 rng;
   uint64_t incarnation;
+  double woke = -1e9;  // when this process last went on after standing still, by the steady clock
   bool debug_on = false;
   std::map<std::string, double> counts;
 
  private:
+  struct UnderWay {
+    CallHandler handler;
+    double until = 0;
+  };
+  static constexpr double kLateAnswer = 0.5;  // s beyond its time that an answer still counts
   uint64_t next_call_ = 1;
-  std::unordered_map<uint64_t, CallHandler> handlers_;
+  std::unordered_map<uint64_t, UnderWay> handlers_;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -9,6 +9,7 @@
 namespace {
 constexpr double kBeatsPerReport = 10;
 constexpr double kLeaderTick = 0.1;
+constexpr double kPauseReports = 0.3;  // between two batches: the process stood still
 constexpr size_t kViewsPerMessage = 200;
 }  // namespace
 
@@ -199,7 +200,20 @@
   }
 }
 
+// A process that stood still while its clocks ran on knows nothing of the time between: others may
+// have been leased its blocks and cancelled its jobs. Until the state has answered a question asked
+// since, no task is started for what was decided before.
+void Core::note_pause(Time now) {
+  const double since = ctx_.now.steady;
+  if (since <= 0 || now.steady - since < kPauseReports * ctx_.settings.platform.report_s) return;
+  ctx_.woke = now.steady;
+  peers_.paused(now.steady - since);
+  ctx_.info("core", "stood still for {:.1f} s: nothing is started until the state was asked",
+            now.steady - since);
+}
+
 void Core::run(const std::vector<Command>& batch, Time now) {
+  note_pause(now);
   ctx_.now = now;
   // Ranks: reports of workers and answers first, then what controllers say, then users.
   std::vector<const Request*> users;
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -32,6 +32,7 @@
  private:
   void on_request(const Request& r);
   void on_peer(const PeerMessage& m);
+  void note_pause(Time now);
   void tick();
   void send_beat();
   void tell_counts();
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -26,6 +26,8 @@
 constexpr double kTxnShare = 0.6;    // part of a second's writes that one transaction may take
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
+// Parts of the process's sockets for commands and for probes under way.
+constexpr double kCommandSockets = 0.2, kProbeSockets = 0.08;
 constexpr int kGathered = 5;  // rank of results that complete nothing
 }  // namespace
 
@@ -117,7 +119,7 @@
     w.block = m->block;
     w.token = replica_.leases[static_cast<size_t>(m->block)].token << kTokenShift;
     w.dirty = w.token - 1;  // any former holder's command may still be under way
-    w.last_heard = w.activated = ctx_.now.steady;
+    w.last_heard = ctx_.now.steady;
     auto a = addresses_.find(name);
     if (a != addresses_.end()) w.address = a->second;
     attend(workers_.emplace(name, std::move(w)).first->second);
@@ -131,7 +133,7 @@
   size_t up = 0, silent = 0;
   for (auto& [name, w] : workers_) {
     probe(w);
-    const double age = ctx_.now.steady - w.last_heard;
+    const double age = quiet_for(w);
     const bool expected = w.reported || !replica_.placed_on(name).empty();
     const bool late = expected && w.probe_failed && age > kProbeReports * report;
     if (expected) ++up;
@@ -154,9 +156,14 @@
   if (!routed_.empty()) place_wanted_ = true;
 }
 
+// While this process stood still it could hear nobody: that time is no machine's silence.
+double Holder::quiet_for(const Worker& w) const {
+  return ctx_.now.steady - std::max(w.last_heard, ctx_.woke);
+}
+
 void Holder::probe(Worker& w) {
   const double report = ctx_.settings.platform.report_s;
-  const double age = ctx_.now.steady - w.last_heard;
+  const double age = quiet_for(w);
   if (age < kProbeReports * report) {
     w.probe_failed = false;
     w.failed_probes = 0;
@@ -166,10 +173,14 @@
     if (w.address.empty() && age > 2 * report) w.probe_failed = true;
     return;
   }
+  // Hundreds may be late at once, after a cut or a pause: they are asked in turn.
+  if (probes_ >= kProbeSockets * ctx_.settings.platform.max_sockets) return;
+  ++probes_;
   w.probing = true;
   w.next_probe = ctx_.now.steady + report / 10;
   ctx_.call(Target::kWorker, w.address, "GET", "/inspect", "", report / 4,
             [this, name = w.name](const CallDone& done) {
+              --probes_;
               auto it = workers_.find(name);
               if (it == workers_.end()) return;
               it->second.probing = false;
@@ -690,7 +701,8 @@
     Worker& w = it->second;
     w.attention = false;
     if (w.sending != 0) continue;  // its answer brings attention again
-    if (w.address.empty() || ctx_.now.steady < w.next_push) {
+    if (w.address.empty() || ctx_.now.steady < w.next_push ||
+        sends_ >= kCommandSockets * ctx_.settings.platform.max_sockets) {
       w.attention = true;
       attention_.push_back(name);
       continue;
@@ -703,6 +715,12 @@
     if (std::exchange(w.settled, false)) continue;
     std::vector<Order> orders;
     reconcile(w, &orders);
+    if (replica_.synced_at < ctx_.woke) {
+      // After a pause the job may be cancelled and the task elsewhere, for all that is known here.
+      std::erase_if(orders, [](const Order& o) { return o.op == Order::Op::kStart; });
+      w.attention = true;
+      attention_.push_back(name);
+    }
     // Forgetting alone is not urgent: the next answer carries it. Before a start it is, since an
     // older attempt that is still listed would make the worker refuse the new one.
     if (std::none_of(orders.begin(), orders.end(),
@@ -717,6 +735,7 @@
   if (orders.empty() && !even_if_empty) return;
   const double report = ctx_.settings.platform.report_s;
   w.sending = w.token;
+  ++sends_;
   const bool starts = std::any_of(orders.begin(), orders.end(),
                                   [](const Order& o) { return o.op == Order::Op::kStart; });
   ctx_.debug("holder", "machine {}: {} orders, token {}", w.name, orders.size(), w.token);
@@ -725,6 +744,7 @@
       worker::encode_commands(w.token, std::max<uint64_t>(1, w.session), orders),
       report * kCommandReports,
       [this, name = w.name, token = w.token, starts, report](const CallDone& done) {
+        --sends_;
         auto it = workers_.find(name);
         if (it == workers_.end() || it->second.sending != token) return;
         Worker& x = it->second;
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -45,7 +45,7 @@
   uint64_t sending = 0;  // token of the direct command under way, 0: none
   uint64_t session = 0, seq = 0, reported_token = 0;
   bool reported = false;
-  double last_heard = 0, activated = 0;
+  double last_heard = 0;
   double next_probe = 0, next_push = 0;
   bool probing = false, probe_failed = false;
   int failed_probes = 0;
@@ -152,6 +152,7 @@
               std::vector<std::string> keys);
   void drop_sent(const std::vector<ChunkId>& chunks);
   void send_again(const std::vector<ChunkId>& chunks);
+  double quiet_for(const Worker& w) const;
   void probe(Worker& w);
   void send(Worker& w, std::vector<worker::Order> orders, bool even_if_empty);
 
@@ -200,6 +201,7 @@
   double cheapest_ = 1;
   int evictions_ = 0;
   int in_flight_ = 0;
+  int sends_ = 0, probes_ = 0;  // commands and probes under way
   double backoff_until_ = 0, next_place_ = 0;
   size_t turn_ = 0;  // of the views and addresses that are told again
   bool suspects_itself_ = false, place_wanted_ = false;
--- a/src/rooksill/core/peers.h
+++ b/src/rooksill/core/peers.h
@@ -27,6 +27,11 @@
   void broadcast(net::PeerKind kind, const std::string& payload);
   void lost(const std::string& label);
 
+  // This process stood still for so long: that time is nobody's silence.
+  void paused(double for_s) {
+    for (auto& [label, p] : peers_) p.last_heard += for_s;
+  }
+
   bool alive(const std::string& label) const;
   int live() const;  // with this one
   double last_heard_any() const;
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -78,6 +78,7 @@
   std::set<std::string> finished_jobs;  // open, with all tasks done
   uint64_t synced_epoch = 0;            // everything up to here is known
   bool synced = false;
+  double synced_at = -1e9;  // what the state service had at this moment is known, by our clock
 
   // Emptied by the core after each batch.
   std::vector<TaskEvent> events;
--- a/src/rooksill/core/service.cc
+++ b/src/rooksill/core/service.cc
@@ -17,6 +17,10 @@
 
 namespace {
 
+// Parts of the process's sockets: for those that come in (workers, users, health checks), and for
+// the calls that go out, nearly all of them to workers. The rest is for the other controllers.
+constexpr double kSocketsIn = 0.65, kSocketsOut = 0.3;
+
 struct LoopDeleter {
   void operator()(struct ev_loop* loop) const { ev_loop_destroy(loop); }
 };
@@ -33,10 +37,10 @@
       : loop_(ev_loop_new(EVFLAG_AUTO)),
         core_(settings, seed(settings), read_clocks().wall,
               spdlog::get_level() <= spdlog::level::debug),
-        client_(loop_.get(), [this](core::CallDone d) { push(std::move(d)); }),
+        client_(loop_.get(), sockets(settings, kSocketsOut),
+                [this](core::CallDone d) { push(std::move(d)); }),
         server_(
-            loop_.get(), settings.platform.api_address,
-            static_cast<size_t>(settings.platform.max_sockets) * 7 / 10,
+            loop_.get(), settings.platform.api_address, sockets(settings, kSocketsIn),
             [this](uint64_t id, net::HttpMessage m) {
               push(core::Request{id, std::move(m.method), std::move(m.target), std::move(m.body)});
             }),
@@ -58,6 +62,9 @@
   void run() { ev_run(loop_.get(), 0); }
 
  private:
+  static size_t sockets(const Settings& s, double part) {
+    return static_cast<size_t>(part * s.platform.max_sockets);
+  }
   // Two processes that start at the same moment must not draw the same numbers.
   static uint64_t seed(const Settings& s) {
     std::random_device device;
--- a/src/rooksill/net/http_client.cc
+++ b/src/rooksill/net/http_client.cc
@@ -27,7 +27,8 @@
   std::unique_ptr<IoWatcher> watcher;
 };
 
-HttpClient::HttpClient(struct ev_loop* loop, Done done) : loop_(loop), done_(std::move(done)) {
+HttpClient::HttpClient(struct ev_loop* loop, size_t max_connections, Done done)
+    : loop_(loop), max_connections_(max_connections), done_(std::move(done)) {
   sweep_ = std::make_unique<Timer>(loop_, 0.05, 0.05, [this] { sweep(); });
 }
 
@@ -40,6 +41,10 @@
     idle.pop_back();
     return start(*connections_.at(id), call);
   }
+  // The state service and the cloud always get their few; workers' share what is left.
+  if (call.target == core::Target::kWorker && connections_.size() >= max_connections_ &&
+      !drop_idle())
+    return done_({call.id, 0, "", true});
   Socket s = connect_to(call.address);
   if (!s.open()) return done_({call.id, 0, "", true});
   auto c = std::make_unique<Connection>();
@@ -146,6 +151,16 @@
   connections_.erase(it);
 }
 
+// The connection that has been idle for longest makes room for a new one.
+bool HttpClient::drop_idle() {
+  const Connection* oldest = nullptr;
+  for (const auto& [id, c] : connections_)
+    if (!c->busy && (oldest == nullptr || c->deadline < oldest->deadline)) oldest = c.get();
+  if (oldest == nullptr) return false;
+  fail(oldest->id);
+  return true;
+}
+
 void HttpClient::sweep() {
   std::vector<uint64_t> late;
   for (const auto& [id, c] : connections_)
--- a/src/rooksill/net/http_client.h
+++ b/src/rooksill/net/http_client.h
@@ -18,7 +18,7 @@
  public:
   using Done = std::function<void(core::CallDone)>;
 
-  HttpClient(struct ev_loop* loop, Done done);
+  HttpClient(struct ev_loop* loop, size_t max_connections, Done done);
   ~HttpClient();
   void call(const core::Call& call);
 
@@ -32,8 +32,10 @@
   void fail(uint64_t id);
   void finish(Connection& c, HttpMessage m);
   void sweep();
+  bool drop_idle();
 
   struct ev_loop* loop_;
+  size_t max_connections_;
   Done done_;
   std::map<uint64_t, std::unique_ptr<Connection>> connections_;
   std::map<std::string, std::list<uint64_t>> idle_;
--- a/src/rooksill/net/http_server.cc
+++ b/src/rooksill/net/http_server.cc
@@ -17,6 +17,7 @@
 constexpr double kSlowRequest = 10;     // a request half sent for longer is given up
 constexpr double kIdle = 120;           // a connection without requests for longer is closed
 constexpr size_t kMaxOut = 1024 * 1024;
+constexpr double kCrowded = 0.8;  // part of the room for connections past which none is kept
 
 const char* reason(int status) {
   switch (status) {
@@ -79,7 +80,7 @@
     int fd = ::accept4(listener_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
     Socket s(fd);
-    if (connections_.size() >= max_connections_) continue;  // closed at once
+    if (connections_.size() >= max_connections_ && !drop_idle()) continue;  // closed at once
     int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     const uint64_t id = next_++;
@@ -137,7 +138,11 @@
   Connection& c = *it->second;
   c.answering = false;
   c.started = ev_now(loop_);
-  send(c, status, body, retry_after_s, c.close_after);
+  // One controller may face all workers and all users, more than it has sockets for: connections
+  // are then taken up for one request each, so that everybody's is answered, health checks' too.
+  const bool crowded =
+      static_cast<double>(connections_.size()) > kCrowded * static_cast<double>(max_connections_);
+  send(c, status, body, retry_after_s, c.close_after || crowded);
   it = connections_.find(id);
   if (it != connections_.end() && !it->second->closing) parse(*it->second);
 }
@@ -177,6 +182,18 @@
   c.watcher->want(EV_READ);
 }
 
+// Makes room for a new connection: the one that has been idle for longest goes.
+bool HttpServer::drop_idle() {
+  const Connection* oldest = nullptr;
+  for (const auto& [id, c] : connections_)
+    if (!c->answering && c->parser.idle() && c->out.empty() &&
+        (oldest == nullptr || c->started < oldest->started))
+      oldest = c.get();
+  if (oldest == nullptr) return false;
+  drop(oldest->id);
+  return true;
+}
+
 void HttpServer::drop(uint64_t id) { connections_.erase(id); }
 
 void HttpServer::sweep() {
--- a/src/rooksill/net/http_server.h
+++ b/src/rooksill/net/http_server.h
@@ -30,6 +30,7 @@
   void write(Connection& c);
   void send(Connection& c, int status, const std::string& body, double retry_after_s, bool close);
   void drop(uint64_t id);
+  bool drop_idle();
   void sweep();
 
   struct ev_loop* loop_;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -107,8 +107,7 @@
 
 bool Holder::open(const Worker& w) const {
   const bool heard =
-      ctx_.now.steady - w.last_heard < kProbeReports * ctx_.settings.platform.report_s ||
-      !w.probe_failed;
+      quiet_for(w) < kProbeReports * ctx_.settings.platform.report_s || !w.probe_failed;
   return w.room.type != nullptr && w.reported && heard && !w.bad && !w.notice_until &&
          drain_.count(w.name) == 0 && w.avoid_until <= ctx_.now.steady;
 }
--- a/src/rooksill/state/syncer.cc
+++ b/src/rooksill/state/syncer.cc
@@ -69,12 +69,14 @@
   if (!replica_.synced)
     ctx_.info("state", "replica loaded: {} jobs, epoch {}", replica_.jobs.size(), epoch_);
   replica_.synced = true;
-  last_sync_ = ctx_.now.steady;
   watch();
 }
 
 void Syncer::watch() {
-  const double hold = kWatchReports * ctx_.settings.platform.report_s;
+  // After a pause the next answer has to come at once, also when nothing has changed.
+  const double hold =
+      replica_.synced_at < ctx_.woke ? 0 : kWatchReports * ctx_.settings.platform.report_s;
+  asked_ = ctx_.now.steady;
   const std::string path = "/watch?starts=" + core::kPrefix + "&from=" + std::to_string(epoch_) +
                            "&hold_ms=" + std::to_string(static_cast<int>(hold * 1000));
   busy_ = client_.raw("GET", path, "", hold + kWatchPatience,
@@ -106,7 +108,7 @@
   }
   epoch_ = std::max(epoch_, j["epoch"].get<uint64_t>());
   replica_.synced_epoch = std::max(replica_.synced_epoch, epoch_);
-  last_sync_ = ctx_.now.steady;
+  replica_.synced_at = asked_;
   next_ = ctx_.now.steady + pause();
 }
 
--- a/src/rooksill/state/syncer.h
+++ b/src/rooksill/state/syncer.h
@@ -12,7 +12,6 @@
   Syncer(core::Context& ctx, core::Replica& replica, Client& client)
       : ctx_(ctx), replica_(replica), client_(client) {}
   void tick();
-  double last_sync() const { return last_sync_; }
 
  private:
   void list(const std::string& after);
@@ -26,7 +25,7 @@
   Client& client_;
   bool listed_ = false, busy_ = false, leader_seen_ = false;
   uint64_t epoch_ = 0;
-  double next_ = 0, last_sync_ = 0;
+  double next_ = 0, asked_ = 0;
 };
 
 }  // namespace rooksill::state
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -232,6 +232,8 @@
       world().cut(node_of(l.word(1)), l.text("from", "all"), for_s, hold);
     } else if (verb == "refuse") {
       world().refuse(node_of(l.word(1)), for_s);
+    } else if (verb == "freeze") {
+      world().freeze(node_of(l.word(1)), for_s);
     } else if (verb == "state_outage") {
       world().state_outage(for_s);
     } else if (verb == "cloud_outage") {
@@ -275,7 +277,7 @@
       const int node = static_cast<int>(rng() % static_cast<uint64_t>(options_.nodes));
       const bool hold = unit(rng) < 0.6;
       const double p = unit(rng);
-      const auto kind = rng() % 16;
+      const auto kind = rng() % 17;
       static const char* sides[] = {"state", "workers", "peers", "all"};
       const std::string side = sides[rng() % 4];
       world().at(t, [this, kind, node, for_s, hold, side, p] {
@@ -311,6 +313,8 @@
             return w.machine_deaf(1 + static_cast<int>(p * 2), 2 * for_s);
           case 15:
             return w.late_copies(0.2 + 0.5 * p, 4 * for_s, for_s);
+          case 16:
+            return w.freeze(node, 1.5 * for_s);
         }
       });
     }
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -103,6 +103,10 @@
 void World::process(int node, uint64_t generation) {
   Node& n = nodes_[static_cast<size_t>(node)];
   if (!n.core || n.generation != generation) return;
+  if (n.frozen_until > now_) {  // what comes meanwhile waits in its sockets
+    at(n.frozen_until, [this, node, generation] { process(node, generation); });
+    return;
+  }
   n.scheduled = false;
   std::vector<core::Command> batch;
   batch.swap(n.queue);
@@ -505,6 +509,10 @@
   at(now_ + for_s, [this, node] { nodes_[static_cast<size_t>(node)].refused = false; });
 }
 
+void World::freeze(int node, double for_s) {
+  nodes_[static_cast<size_t>(node)].frozen_until = now_ + for_s;
+}
+
 void World::state_outage(double for_s) {
   state_.set_outage(now_, true);
   at(now_ + for_s, [this] { state_.set_outage(now_, false); });
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -60,6 +60,7 @@
   // side: state, cloud, workers, peers, all
   void cut(int node, const std::string& side, double for_s, bool hold);
   void refuse(int node, double for_s);
+  void freeze(int node, double for_s);  // stands still while its clocks run on
   void state_outage(double for_s);
   void cloud_outage(double for_s);
   void machine_cut(int count, double for_s, bool hold);
@@ -96,6 +97,7 @@
     uint64_t generation = 0;
     bool scheduled = false;
     bool refused = false;
+    double frozen_until = 0;
     std::map<std::string, std::pair<double, bool>> cuts;  // side -> until, hold
     std::map<uint64_t, std::function<void(const rooksill::core::Reply&)>> pending;
     uint64_t next_request = 1;
