A node that suspects itself stays suspect; cut zones keep their machines; tasks restart in place

Of zone: machines of a cut zone were released after two probes, which ended replicas that ran on and images with them. Changed: a node that suspects itself stays so until a machine answers it; the first unanswered probe makes a holder ask ten machines of the zone, and a zone that most holders find dark keeps its machines for a lease, then for as long as there is no room elsewhere, two leases at most; tasks that went with a machine's session are started again there without a write; a report is answered only while a cancellation that is not known here could still be kept (cancel_s less lease_s), or while every controller is without the state service.

--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -27,9 +27,10 @@
 constexpr double kSilentPauseReports = 1.5;  // between releases of silent machines with replicas
 constexpr double kSilentPart = 0.05;         // of all machines that are released at a time
 constexpr double kSilentLease = 0.5;         // part of a lease that the last of them may wait
-constexpr int kTasksMoved = 3;               // tasks of arrays moved at a time, and
-constexpr double kMovedPart = 0.02;          // for each machine there is
-constexpr int kMoveLooks = 48;               // tasks looked at for a move at a time
+constexpr double kCutLeases = 2;     // leases after which a cut zone's machines are given up
+constexpr int kTasksMoved = 3;       // tasks of arrays moved at a time, and
+constexpr double kMovedPart = 0.02;  // for each machine there is
+constexpr int kMoveLooks = 48;       // tasks looked at for a move at a time
 constexpr int kZoneLeast = 4;  // machines in a zone below which their silence says nothing of it
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
@@ -445,8 +446,20 @@
 bool Fleet::may_release_silent(const std::string& name) {
   const double now = ctx_.now.steady;
   const auto& p = ctx_.settings.platform;
-  if (replica_.load(name).replica_cpus <= 0 || releasing_.count(name) != 0) return true;
+  if (releasing_.count(name) != 0) return true;
   const double since = silent_since_.emplace(name, now).first->second;
+  const Machine* m = replica_.machine(name);
+  auto shut = m != nullptr ? shut_until_.find(m->zone) : shut_until_.end();
+  if (shut != shut_until_.end() && shut->second > now) {
+    // In a zone that is cut off work goes on until the machines' leases end; to release them would
+    // only end it sooner, for want of as much room elsewhere. Afterwards it starts again as soon as
+    // the zone is back, with its images there, unless there is room for it elsewhere by then.
+    if (now - since < p.lease_s) return false;
+    const double cpus = replica_.load(name).cpus;
+    if (now - since < kCutLeases * p.lease_s && cpus > room_elsewhere_) return false;
+    room_elsewhere_ -= cpus;
+  }
+  if (replica_.load(name).replica_cpus <= 0) return true;
   if (now >= next_silent_release_) {
     next_silent_release_ = now + kSilentPauseReports * p.report_s;
     silent_left_ =
@@ -457,9 +470,10 @@
   return true;
 }
 
-// A zone of which most machines are silent is cut off: what is rented there would not be heard of
-// either, and is rented elsewhere. Now and then a rental shows whether that is over.
-void Fleet::watch_zones(const net::ViewMap& views) {
+// A zone that is cut off: its holders say so, or most of its machines are silent. What is rented
+// there would not be heard of either, and is rented elsewhere. Where no machine is left to show
+// that the zone is back, a rental does, now and then.
+void Fleet::watch_zones(const net::ViewMap& views, const std::set<std::string>& dark) {
   std::map<std::string, std::pair<int, int>> seen;  // silent or late, of all
   for (const auto& [name, m] : replica_.machines) {
     auto v = views.find(name);
@@ -471,21 +485,34 @@
     ++all;
     if (v->second.silent || !v->second.up) ++silent;
   }
-  int shut = 0;
-  for (const auto& [zone, n] : seen) shut += n.second >= kZoneLeast && n.first * 2 > n.second;
-  // All of them at once: likelier the controllers' own trouble.
-  if (shut == 0 || shut == static_cast<int>(seen.size())) return;
+  std::set<std::string> shut;
   for (const auto& [zone, n] : seen) {
-    if (n.second < kZoneLeast || n.first * 2 <= n.second) continue;
+    if (n.second < kZoneLeast) continue;
+    if (dark.count(zone) != 0 || n.first * 2 > n.second)
+      shut.insert(zone);
+    else if (n.first * 4 < n.second)
+      shut_until_.erase(zone);
+  }
+  // All of them at once: likelier the controllers' own trouble.
+  if (shut.size() == seen.size()) return;
+  for (const auto& zone : shut) {
     double& until = shut_until_[zone];
     if (until <= ctx_.now.steady)
-      ctx_.info("fleet", "zone {}: {} of {} machines silent, nothing is rented there", zone,
-                n.first, n.second);
+      ctx_.info("fleet", "zone {}: cut off, {} of {} machines silent; nothing is rented there",
+                zone, seen[zone].first, seen[zone].second);
     until = ctx_.now.steady + ctx_.settings.platform.lease_s;
   }
 }
 
 void Fleet::judge(const net::ViewMap& views, const std::set<int>& suspect_blocks) {
+  if (ctx_.now.steady >= next_room_) {
+    next_room_ = ctx_.now.steady + ctx_.settings.platform.report_s;
+    room_elsewhere_ = 0;
+    for (const auto& [name, v] : views) {
+      const Machine* m = replica_.machine(name);
+      if (m != nullptr && v.up && !v.silent) room_elsewhere_ += v.cpus_free;
+    }
+  }
   for (const auto& [name, m] : replica_.machines) {
     if (to_drop_.count(name) != 0) continue;
     auto it = views.find(name);
@@ -923,7 +950,7 @@
 }
 
 void Fleet::tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
-                 const std::set<int>& suspect_blocks) {
+                 const std::set<int>& suspect_blocks, const std::set<std::string>& dark_zones) {
   if (!active_) return;
   const double now = ctx_.now.steady;
   limit_.refill(now);
@@ -934,7 +961,7 @@
   std::erase_if(gone_, [&](const auto& g) {
     return now - g.second > 4 * ctx_.settings.platform.cloud_list_lag_s + 30;
   });
-  watch_zones(views);
+  watch_zones(views, dark_zones);
   judge(views, suspect_blocks);
   send_releases();
   fetch_catalog();
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -44,7 +44,7 @@
   // While leading.
   bool wants_waiting() const { return active_ && ctx_.now.steady >= next_on_demand_; }
   void tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
-            const std::set<int>& suspect_blocks);
+            const std::set<int>& suspect_blocks, const std::set<std::string>& dark_zones);
   void sighted(const net::Sighting& s);
   const std::set<std::string>& draining() const { return drain_; }
   std::vector<net::Move> take_moves() { return std::exchange(moves_, {}); }
@@ -69,7 +69,7 @@
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
   void deal(const std::vector<std::string>& names, const Offer& offer, int block = -1);
   void write_machines();
-  void watch_zones(const net::ViewMap& views);
+  void watch_zones(const net::ViewMap& views, const std::set<std::string>& dark);
   bool may_release_silent(const std::string& name);
   void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
@@ -146,6 +146,7 @@
   double next_on_demand_ = 0, next_move_ = 0, next_silent_release_ = 0;
   int silent_left_ = 0;  // how many more may be released before that
   std::map<std::string, double> silent_since_;
+  double room_elsewhere_ = 0, next_room_ = 0;  // cores free on machines that are heard
 };
 
 }  // namespace rooksill::cloud
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -148,14 +148,19 @@
   if (!message.machines.empty()) peers_.send(l.label, net::PeerKind::kViews, net::pack(message));
 }
 
+bool Core::state_answers() const {
+  return client_.healthy() ||
+         ctx_.now.steady - client_.last_answer() < ctx_.settings.platform.report_s / 2;
+}
+
 void Core::send_beat() {
   net::Beat b;
   b.ready = replica_.synced;
-  b.state_ok = client_.healthy() ||
-               ctx_.now.steady - client_.last_answer() < ctx_.settings.platform.report_s / 2;
+  b.state_ok = state_answers();
   b.suspects_itself = holder_.suspects_itself();
   b.term = leader_.term();
   b.addresses = holder_.take_addresses();
+  b.dark_zones = holder_.dark_zones();
   peers_.broadcast(net::PeerKind::kBeat, net::pack(b));
 }
 
@@ -180,6 +185,8 @@
   client_.tick(ctx_.now.steady, peers_.live());
   syncer_.tick();
   committer_.tick();
+  holder_.set_state_away(!state_answers() &&
+                         peers_.all_say([](const net::Beat& b) { return !b.state_ok; }));
   holder_.tick();
   const double now = ctx_.now.steady;
   if (now >= next_scan_) {
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -34,6 +34,7 @@
   void on_peer(const PeerMessage& m);
   void note_pause(Time now);
   void tick();
+  bool state_answers() const;
   void send_beat();
   void tell_counts();
   void tell_views();
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -14,8 +14,12 @@
 
 namespace {
 constexpr int kMaxInFlight = 2;
-constexpr double kBackoff = 0.15;        // after the state refused
-constexpr int kProbes = 2;               // unanswered ones that make a machine silent
+constexpr double kBackoff = 0.15;      // after the state refused
+constexpr double kEntitled = 0.95;     // part of the time by which a cancellation outlasts a lease
+constexpr int kZoneSample = 10;        // machines of a zone that are asked whether it is cut off
+constexpr double kZonePatience = 0.2;  // reports that their answers are waited for
+constexpr int kTested = 3;             // machines that a node which suspects itself asks at a time
+constexpr int kProbes = 2;             // unanswered ones that make a machine silent
 constexpr double kCommandReports = 0.5;  // patience with a direct command, in reports
 constexpr int kSuspectJob = 3;           // machines a job must fail on to be suspected itself
 constexpr int kSuspectMachine = 3;       // failures in a row that make a machine suspect
@@ -27,7 +31,7 @@
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
 // Parts of the process's sockets for commands and for probes under way.
-constexpr double kCommandSockets = 0.2, kProbeSockets = 0.08;
+constexpr double kCommandSockets = 0.15, kProbeSockets = 0.15;
 constexpr int kGathered = 5;  // rank of results that complete nothing
 }  // namespace
 
@@ -144,11 +148,8 @@
       w.view_stale = true;
     }
   }
-  // One silent machine is its own trouble; nearly all of them at once are likelier ours.
-  const bool suspects = silent >= 2 && silent * 10 >= up * 8;
-  if (suspects && !suspects_itself_)
-    ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
-  suspects_itself_ = suspects;
+  suspect(silent, up);
+  judge_zones();
   std::erase_if(evicted_, [&](const auto& e) {
     const TaskState* t = replica_.task(e.first);
     return t == nullptr || t->machine.empty() || t->attempt != e.second;
@@ -156,6 +157,84 @@
   if (!routed_.empty()) place_wanted_ = true;
 }
 
+// One silent machine is its own trouble; nearly all of them at once are likelier ours. Its blocks
+// go to others then, and with them whatever it could hear: it stays suspect until some machine
+// answers it again, or it would get them back at once, and hold and lose them by turns.
+void Holder::suspect(size_t silent, size_t up) {
+  const bool nearly_all = silent >= 2 && silent * 10 >= up * 8;
+  if (nearly_all && !suspects_itself_) {
+    ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
+    suspects_itself_ = true;
+    last_answer_ = -1e9;
+  }
+  if (!suspects_itself_) return;
+  const double report = ctx_.settings.platform.report_s;
+  if (!nearly_all && ctx_.now.steady - last_answer_ < report) {
+    ctx_.info("holder", "machines answer: no longer suspecting this node");
+    suspects_itself_ = false;
+    return;
+  }
+  if (!workers_.empty() || addresses_.empty() || ctx_.now.steady < next_test_) return;
+  next_test_ = ctx_.now.steady + report / 4;
+  for (int i = 0; i < kTested; ++i) {
+    auto at = addresses_.begin();
+    std::advance(at, static_cast<long>(ctx_.rng() % addresses_.size()));
+    ctx_.call(Target::kWorker, at->second, "GET", "/inspect", "", report / 4,
+              [this](const CallDone& done) {
+                if (done.status == 200) last_answer_ = ctx_.now.steady;
+              });
+  }
+}
+
+// One silent machine may be the first of a zone that is cut off. Some others of the zone are asked
+// at once: by the time it is judged, it is known whether it is alone.
+void Holder::check_zone(const std::string& zone) {
+  ZoneCheck& z = zone_checks_[zone];
+  const double report = ctx_.settings.platform.report_s;
+  if (ctx_.now.steady - z.asked < report) return;
+  z.asked = ctx_.now.steady;
+  z.sent = z.answered = 0;
+  z.judged = false;
+  std::vector<const Worker*> there;
+  for (const auto& [name, w] : workers_) {
+    const Machine* m = replica_.machine(name);
+    if (m != nullptr && m->zone == zone && w.reported && !w.address.empty()) there.push_back(&w);
+  }
+  std::shuffle(there.begin(), there.end(), ctx_.rng);
+  for (const Worker* w : there) {
+    if (z.sent == kZoneSample) break;
+    ++z.sent;
+    ctx_.call(Target::kWorker, w->address, "GET", "/inspect", "", report * kZonePatience,
+              [this, zone, asked = z.asked](const CallDone& done) {
+                ZoneCheck& x = zone_checks_[zone];
+                if (x.asked == asked && done.status == 200) ++x.answered;
+              });
+  }
+}
+
+void Holder::judge_zones() {
+  const double report = ctx_.settings.platform.report_s;
+  for (auto& [zone, z] : zone_checks_) {
+    const double passed = ctx_.now.steady - z.asked;
+    if (!z.judged && passed > 1.2 * kZonePatience * report) {
+      const bool dark = z.sent >= kZoneSample / 2 && z.answered * 2 < z.sent;
+      if (dark != z.dark)
+        ctx_.info("holder", "zone {}: {} of {} machines asked answer, it is {}", zone, z.answered,
+                  z.sent, dark ? "cut off" : "there again");
+      z.dark = dark;
+      z.judged = true;
+    }
+    if (z.dark) check_zone(zone);
+  }
+}
+
+std::vector<std::string> Holder::dark_zones() const {
+  std::vector<std::string> out;
+  for (const auto& [zone, z] : zone_checks_)
+    if (z.dark) out.push_back(zone);
+  return out;
+}
+
 // While this process stood still it could hear nobody: that time is no machine's silence.
 double Holder::quiet_for(const Worker& w) const {
   return ctx_.now.steady - std::max(w.last_heard, ctx_.woke);
@@ -187,6 +266,7 @@
               auto r = done.status == 200 ? worker::parse_report(done.body) : std::nullopt;
               if (!r || r->machine != name) {
                 it->second.probe_failed = ++it->second.failed_probes >= kProbes;
+                if (const Machine* m = replica_.machine(name)) check_zone(m->zone);
                 return;
               }
               take_report(it->second, *r);
@@ -206,6 +286,14 @@
   if (fresh_addresses_.size() <= workers_.size()) fresh_addresses_.push_back({machine, address});
 }
 
+// An answer lets a worker's tasks live for another lease. A job may have been cancelled since the
+// state was last heard of, and its tasks have to be gone within `cancel_s` then, though this node
+// knows nothing of it. When all nodes are without the state service nobody can cancel anything.
+bool Holder::entitled() const {
+  const auto& p = ctx_.settings.platform;
+  return state_away_ || ctx_.now.steady - replica_.synced_at < kEntitled * (p.cancel_s - p.lease_s);
+}
+
 void Holder::report(uint64_t request, const std::string& body) {
   auto r = worker::parse_report(body);
   if (!r) return ctx_.reply(request, 400, "{}");
@@ -224,6 +312,7 @@
     if (lease.holder == p.label) return ctx_.reply(request, 503, "{}", 1);
     return ctx_.reply(request, 421, worker::encode_redirect(lease.holder));
   }
+  if (!entitled()) return ctx_.reply(request, 503, "{}", 1);
   Worker& w = it->second;
   // A higher token than ours: somebody else is entitled. A 200 would burn the worker's lease.
   if (r->token > w.token) {
@@ -252,7 +341,7 @@
   w.session = r.session;
   w.seq = r.seq;
   w.reported_token = r.token;
-  w.last_heard = ctx_.now.steady;
+  w.last_heard = last_answer_ = ctx_.now.steady;
   w.probe_failed = false;
   w.failed_probes = 0;
   w.tasks = r.tasks;
@@ -315,7 +404,6 @@
       continue;
     }
     matched.insert(t.task);
-    w.seen.insert({t.task, t.attempt});
     if (changing(t.task)) continue;
     const Job* job = replica_.job(t.task.job);
     if (t.phase == Phase::kExited) {
@@ -342,23 +430,18 @@
     if (matched.count(ref) != 0 || changing(ref)) continue;
     const TaskState* s = replica_.task(ref);
     const Job* job = replica_.job(ref.job);
-    const bool was_here = w.seen.count({ref, s->attempt}) != 0;
-    if (was_here || job->over()) {
-      // Gone: the session ended, or it was never started and must not be.
+    // What was never started here, or went with the machine's session, is started (again) where the
+    // state has it: its image is there, and nothing has to be written. After a cut that outlasts
+    // the lease that is true of hundreds of machines at once. A machine that is to go is no place
+    // for it.
+    if (job->over() || draining || w.bad || drain_.count(w.name) != 0) {
       if (sure) change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
-    } else if (!draining) {
+    } else {
       order({Order::Op::kStart, ref, s->attempt, 0});
-    } else if (sure) {
-      change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
     }
   }
   if (w.running_since.size() > 4 * (w.tasks.size() + 16))
     std::erase_if(w.running_since, [&](const auto& r) { return matched.count(r.first) == 0; });
-  if (w.seen.size() > 4 * (w.tasks.size() + 16))
-    std::erase_if(w.seen, [&](const auto& s) {
-      const TaskState* t = replica_.task(s.first);
-      return t == nullptr || t->machine != w.name || t->attempt != s.second;
-    });
 }
 
 // Whether a task on a machine that will be taken is likely to complete before. What is not starts
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -51,7 +51,6 @@
   int failed_probes = 0;
   std::map<TaskRef, double> running_since;
   std::vector<worker::ReportedTask> tasks;
-  std::set<std::pair<TaskRef, uint64_t>> seen;  // attempts that it was seen to have
   std::optional<double> notice_until;
   std::list<std::pair<int, double>> images;  // by number, most recently used first
   double image_gb = 0;
@@ -84,6 +83,7 @@
   void flush();  // changes of state, reports' results first
   void push();   // commands that must be quick
   void want_place() { place_wanted_ = true; }
+  void set_state_away(bool away) { state_away_ = away; }
 
   // What changed since the last call, and some others in turn; everything if `all`.
   std::vector<net::MachineView> take_views(bool all);
@@ -92,6 +92,7 @@
   std::string summary();  // of the machines held, for the log
   bool holds(int block) const;
   bool suspects_itself() const { return suspects_itself_; }
+  std::vector<std::string> dark_zones() const;  // cut off, as far as this node can see
   bool backing_off(const std::string& job) const;
   std::optional<net::Sighting> take_sighting();
 
@@ -113,6 +114,11 @@
     std::optional<Rank> queued;
     double since = 0;
   };
+  struct ZoneCheck {
+    double asked = -1e9;
+    int sent = 0, answered = 0;
+    bool judged = true, dark = false;
+  };
   struct JobTrouble {
     std::set<std::string> machines;
     int failures = 0;
@@ -154,6 +160,10 @@
   void send_again(const std::vector<ChunkId>& chunks);
   double quiet_for(const Worker& w) const;
   void probe(Worker& w);
+  void suspect(size_t silent, size_t up);
+  bool entitled() const;
+  void check_zone(const std::string& zone);
+  void judge_zones();
   void send(Worker& w, std::vector<worker::Order> orders, bool even_if_empty);
 
   net::MachineView view(Worker& w);
@@ -190,6 +200,7 @@
   std::set<ChunkId> routed_;
   uint64_t routed_term_ = 0;
   std::set<std::string> drain_;
+  std::map<std::string, ZoneCheck> zone_checks_;
   std::unordered_map<std::string, JobTrouble> troubles_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
@@ -203,7 +214,9 @@
   int in_flight_ = 0;
   int sends_ = 0, probes_ = 0;  // commands and probes under way
   double backoff_until_ = 0, next_place_ = 0;
-  size_t turn_ = 0;  // of the views and addresses that are told again
+  double last_answer_ = -1e9, next_test_ = 0;  // of any machine; when some are asked again
+  size_t turn_ = 0;                            // of the views and addresses that are told again
+  bool state_away_ = false;                    // from every controller
   bool suspects_itself_ = false, place_wanted_ = false;
 };
 
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -272,6 +272,23 @@
   return out;
 }
 
+// Zones that most holders find cut off. One inside such a zone sees it otherwise.
+std::set<std::string> Leader::dark_zones() const {
+  std::set<std::string> holders, out;
+  std::map<std::string, size_t> votes;
+  for (const auto& l : replica_.leases) {
+    if (!holders.insert(l.holder).second) continue;
+    const Peer* p = peers_.find(l.holder);
+    const auto dark = l.holder == ctx_.settings.platform.label ? holder_.dark_zones()
+                      : p != nullptr                           ? p->beat.dark_zones
+                                                               : std::vector<std::string>();
+    for (const auto& zone : dark) ++votes[zone];
+  }
+  for (const auto& [zone, n] : votes)
+    if (n * 2 > holders.size()) out.insert(zone);
+  return out;
+}
+
 // ---- routing -------------------------------------------------------------------------------
 
 void Leader::sum_up(const net::ViewMap& views) {
@@ -520,9 +537,9 @@
   }
   // Whom to rent for changes slowly beside the tick.
   if (fleet_.wants_waiting())
-    fleet_.tick(views, waiting(), suspect_blocks());
+    fleet_.tick(views, waiting(), suspect_blocks(), dark_zones());
   else
-    fleet_.tick(views, {}, suspect_blocks());
+    fleet_.tick(views, {}, suspect_blocks(), dark_zones());
   // Those that found no room are looked at again in turn: a part of them with each tick.
   std::set<std::string> turn;
   auto from = replica_.waiting_jobs.upper_bound(last_routed_);
--- a/src/rooksill/core/peers.h
+++ b/src/rooksill/core/peers.h
@@ -1,6 +1,7 @@
 // What the other controllers said last.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -34,6 +35,12 @@
 
   bool alive(const std::string& label) const;
   int live() const;  // with this one
+  // Whether every other controller is heard, and says so.
+  template <typename Says>
+  bool all_say(Says says) const {
+    return std::all_of(peers_.begin(), peers_.end(),
+                       [&](const auto& p) { return alive(p.first) && says(p.second.beat); });
+  }
   double last_heard_any() const;
   std::map<std::string, Peer>& all() { return peers_; }
   const Peer* find(const std::string& label) const {
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -40,9 +40,10 @@
 
 struct Beat {
   bool ready = false, state_ok = false, suspects_itself = false;
-  uint64_t term = 0;               // this node leads in this term; 0: it does not
-  std::vector<Address> addresses;  // lately learned, and some others in turn
-  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses)
+  uint64_t term = 0;                    // this node leads in this term; 0: it does not
+  std::vector<Address> addresses;       // lately learned, and some others in turn
+  std::vector<std::string> dark_zones;  // whose machines this node cannot reach
+  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones)
 };
 
 struct Update {
