--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -454,9 +454,11 @@
     // In a zone that is cut off work goes on until the machines' leases end; to release them would
     // only end it sooner, for want of as much room elsewhere. Afterwards it starts again as soon as
     // the zone is back, with its images there, unless there is room for it elsewhere by then.
-    if (now - since < p.lease_s) return false;
+    const double heard = ctx_.settings.operators.machine_silence_reports * p.report_s;
+    if (now - since < p.lease_s - heard) return false;
     const double cpus = replica_.load(name).cpus;
-    if (now - since < kCutLeases * p.lease_s && cpus > room_elsewhere_) return false;
+    if (now - since < kCutLeases * p.lease_s && cpus > room_elsewhere_ && !can_leave(*m))
+      return false;
     room_elsewhere_ -= cpus;
   }
   if (replica_.load(name).replica_cpus <= 0) return true;
@@ -470,6 +472,25 @@
   return true;
 }
 
+// Whether some replica on a machine of a cut zone could run in another one, for which lower work
+// there makes room.
+bool Fleet::can_leave(const Machine& m) const {
+  for (const auto& ref : replica_.placed_on(m.name)) {
+    const Job& job = *replica_.job(ref.job);
+    const JobSpec& s = job.spec;
+    if (s.shape != core::Shape::kService || job.over() || s.one_zone || !s.zone.empty()) continue;
+    if (!s.spread) return true;
+    std::map<std::string, uint32_t> zones;
+    for (const auto& c : job.chunks)
+      for (const auto& t : c.tasks)
+        if (const Machine* at = t.machine.empty() ? nullptr : replica_.machine(t.machine))
+          ++zones[at->zone];
+    for (const auto& [zone, z] : zones_)
+      if (!zone.empty() && zone != m.zone && zones[zone] < (s.tasks + 1) / 2) return true;
+  }
+  return false;
+}
+
 // A zone that is cut off: its holders say so, or most of its machines are silent. What is rented
 // there would not be heard of either, and is rented elsewhere. Where no machine is left to show
 // that the zone is back, a rental does, now and then.
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -71,6 +71,7 @@
   void write_machines();
   void watch_zones(const net::ViewMap& views, const std::set<std::string>& dark);
   bool may_release_silent(const std::string& name);
+  bool can_leave(const core::Machine& m) const;
   void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
   void send_releases();
