Blocks are dealt evenly after several crashes; not ready only if another was served since; order reverted

At the start the whole fleet was asked for only after 34 s: one offer waited for its second request before the next was used. Changed: whoever holds two blocks more than another gives one up, its home first; a new leader waits a fifth of a report for the others before the first leases; a node is not ready only if another was answered well after its own failures began; on-demand calls every 0.3 reports an offer, one request ahead.

--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -34,8 +34,8 @@
 constexpr int kZoneLeast = 4;  // machines in a zone below which their silence says nothing of it
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
-constexpr double kRentReports = 0.6;  // between two on-demand rentals of one offer
-constexpr int kHiresAhead = 2;        // requests' worth of one offer that is waited for
+constexpr double kRentReports = 0.3;  // between two on-demand rentals of one offer
+constexpr int kHiresAhead = 1;        // requests' worth of one offer that is waited for
 constexpr int kMostRefusals = 4;      // after which patience with a refusing cloud grows no more
 constexpr double kCallTimeout = 3;
 }  // namespace
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -9,7 +9,8 @@
 namespace {
 constexpr double kBeatsPerReport = 10;
 constexpr double kLeaderTick = 0.1;
-constexpr double kPauseReports = 0.3;  // between two batches: the process stood still
+constexpr double kRefusedReports = 0.2;  // by which another's answers come later than our last
+constexpr double kPauseReports = 0.3;    // between two batches: the process stood still
 constexpr size_t kViewsPerMessage = 200;
 }  // namespace
 
@@ -37,12 +38,14 @@
 bool Core::ready() const {
   if (!replica_.synced || replica_.types.empty()) return false;
   if (client_.healthy()) return true;
-  // Refused by the state service while another node is served: users do better there.
-  const double patience = ctx_.settings.platform.report_s / 3;
-  if (ctx_.now.steady - client_.last_answer() < patience) return true;
+  // Refused by the state service while another node is served: users do better there. In an outage
+  // nobody is, and to be passed over for it would cost the time until a balancer trusts us again:
+  // so another must have been answered well after we were no more.
   for (const auto& p : ctx_.settings.platform.peers) {
     const Peer* peer = peers_.find(p.label);
-    if (peer != nullptr && peers_.alive(p.label) && peer->beat.ready && peer->beat.state_ok)
+    if (peer != nullptr && peers_.alive(p.label) && peer->beat.ready &&
+        peer->last_heard - peer->beat.state_age >
+            client_.failing_since() + kRefusedReports * ctx_.settings.platform.report_s)
       return false;
   }
   return true;
@@ -157,6 +160,7 @@
   net::Beat b;
   b.ready = replica_.synced;
   b.state_ok = state_answers();
+  b.state_age = ctx_.now.steady - client_.last_answer();
   b.suspects_itself = holder_.suspects_itself();
   b.term = leader_.term();
   b.addresses = holder_.take_addresses();
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -124,12 +124,10 @@
     int failures = 0;
     double retry_at = 0;
   };
-  enum class Stage { kPressing, kFirst, kLater, kHopeless };
-  using Urgency = std::pair<Stage, double>;  // the smaller, the sooner
   struct Candidate {
     const Job* job;
     uint32_t chunk;
-    Urgency urgency;
+    double due;
   };
   // What a pass of placement found no room for: nothing larger needs to be looked for.
   struct Unmet {
@@ -187,7 +185,7 @@
   bool fits_whole(const Job& job, const std::vector<Worker*>& workers,
                   const std::string& only_zone);
   double reserve(const JobSpec& s, const Room& r) const;
-  Urgency urgency(const Job& job) const;
+  double due_time(const Job& job) const;
 
   Context& ctx_;
   Replica& replica_;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -18,6 +18,7 @@
 constexpr double kRerouteReports = 1;  // how long a chunk waits in a block before another is tried
 constexpr size_t kTurnJobs = 20;       // waiting jobs whose routes are looked at with each tick
 constexpr size_t kTurnsPerReroute = 10;  // or such a part of them
+constexpr double kGatherReports = 0.2;   // from a process's start until it leads without the others
 constexpr double kSettleReports = 2;  // how long a peer must be back before it holds blocks again
 }  // namespace
 
@@ -226,32 +227,51 @@
       if (l == ctx_.settings.platform.label || peers_.alive(l)) fit.push_back(l);
   if (fit.empty()) return;
   for (const auto& l : replica_.leases) ++held[l.holder];
+  const double now = ctx_.now.steady;
+  const int blocks = static_cast<int>(replica_.leases.size());
+  // After a crash of all, the others are heard a moment later than the first of them leads: to wait
+  // for them costs less than to have one face all workers first and deal them out again.
+  const bool early = now - started_ < kGatherReports * ctx_.settings.platform.report_s &&
+                     std::any_of(labels.begin(), labels.end(), [&](const auto& label) {
+                       const Peer* p = peers_.find(label);
+                       return p != nullptr && (p->incarnation == 0 || !p->beat.ready);
+                     });
   auto least = [&] {
     return *std::min_element(fit.begin(), fit.end(),
                              [&](const auto& a, const auto& b) { return held[a] < held[b]; });
   };
-  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
+  for (int b = 0; b < blocks; ++b) {
     const BlockLease& l = replica_.leases[static_cast<size_t>(b)];
     const bool current = std::find(fit.begin(), fit.end(), l.holder) != fit.end() &&
                          l.incarnation == incarnation_of(l.holder);
-    const std::string& home = labels[static_cast<size_t>(b) % labels.size()];
-    if (!current) {
-      const std::string to = least();
-      ++held[to];
-      const Peer* p = peers_.find(l.holder);
-      const bool suspects = l.holder == ctx_.settings.platform.label
-                                ? holder_.suspects_itself()
-                                : p != nullptr && p->beat.suspects_itself;
-      if (suspects) gave_up_[b] = ctx_.now.steady;
-      lease(b, to, incarnation_of(to), l.holder.empty() ? "first lease" : "holder is not fit");
-      continue;
-    }
-    if (home == l.holder || std::find(fit.begin(), fit.end(), home) == fit.end()) continue;
-    const Peer* p = peers_.find(home);
+    if (current || early) continue;
+    const std::string to = least();
+    ++held[to];
+    const Peer* p = peers_.find(l.holder);
+    const bool suspects = l.holder == ctx_.settings.platform.label
+                              ? holder_.suspects_itself()
+                              : p != nullptr && p->beat.suspects_itself;
+    if (suspects) gave_up_[b] = now;
+    lease(b, to, incarnation_of(to), l.holder.empty() ? "first lease" : "holder is not fit");
+  }
+  // One that has been back for a while gets a block of the one with the most, its own one if it is
+  // among them. Not only its own: after several crashes each may hold another's.
+  std::string most = fit.front(), to;
+  for (const auto& label : fit) {
+    const Peer* p = peers_.find(label);
     const double back = p != nullptr ? p->first_heard : term_started_;
-    if (held[l.holder] > 1 && held[home] == 0 && ctx_.now.steady - back > settle)
-      lease(b, home, incarnation_of(home), "its own holder is back");
+    if (held[label] > held[most]) most = label;
+    if (now - back > settle && (to.empty() || held[label] < held[to])) to = label;
+  }
+  if (to.empty() || held[most] < held[to] + 2 || !leasing_.empty()) return;
+  int moved = -1;
+  for (int b = 0; b < blocks; ++b) {
+    if (replica_.leases[static_cast<size_t>(b)].holder != most) continue;
+    const bool home = labels[static_cast<size_t>(b) % labels.size()] == to;
+    if (moved < 0 || home) moved = b;
+    if (home) break;
   }
+  if (moved >= 0) lease(moved, to, incarnation_of(to), "it holds fewer");
 }
 
 // Blocks whose holder saw nearly all machines fall silent: it may be the holder's own trouble. The
@@ -525,6 +545,7 @@
 }
 
 void Leader::tick(const net::ViewMap& views) {
+  if (started_ == 0) started_ = ctx_.now.steady;
   elect();
   if (!leading()) return;
   const double now = ctx_.now.steady;
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -62,7 +62,7 @@
   bool leading_ = false, electing_ = false, renewing_ = false, heard_peer_ = false;
   uint64_t term_ = 0, lease_ = 0;
   double valid_until_ = 0, next_renewal_ = 0, next_try_ = 0, vacant_since_ = 0;
-  double next_full_routes_ = 0, next_sum_ = 0, term_started_ = 0;
+  double next_full_routes_ = 0, next_sum_ = 0, term_started_ = 0, started_ = 0;
   std::set<int> leasing_;
   std::map<std::string, std::string> unfit_;  // controller -> why it holds no blocks
   std::map<int, double> gave_up_;  // block -> when it was last taken from a holder that saw silence
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -43,7 +43,8 @@
   uint64_t term = 0;                    // this node leads in this term; 0: it does not
   std::vector<Address> addresses;       // lately learned, and some others in turn
   std::vector<std::string> dark_zones;  // whose machines this node cannot reach
-  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones)
+  double state_age = 1e9;               // s since the state service last answered it
+  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones, state_age)
 };
 
 struct Update {
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -12,9 +12,7 @@
 namespace {
 // Part of an ordinary machine that work which may use cheap machines leaves to work which may not.
 constexpr double kOrdinaryReserve = 0.1;
-constexpr double kGuessed = 1.5;  // estimates are often wrong by half
-constexpr double kPressing =
-    0.25;                          // part of the time to its last chance at which a job is pressing
+constexpr double kHopeless = 1e6;  // s by which a job that can meet no limit stands back
 constexpr int kMaxEvictions = 64;  // machines made room on in one pass
 constexpr double kSlack = 1e-9;    // sums of fractions
 constexpr double kPause = 0.025;   // s between two passes; longer, the more waits
@@ -310,17 +308,12 @@
 
 // ---- order of work -------------------------------------------------------------------------
 
-// The order of jobs of one priority. When everything fits, the order hardly matters; when it does
-// not, the number of jobs that meet their limits is largest if small ones go first. Those that can
-// still meet their first limit come before those that can meet only a later one, and all of those
-// that are about to miss their last one before both, so that no large job waits for ever. What can
-// meet no limit comes last.
-Holder::Urgency Holder::urgency(const Job& job) const {
+// When a job should be done: the first of its class's limits that it can still meet. What can meet
+// none comes after everything that can.
+double Holder::due_time(const Job& job) const {
   const JobSpec& s = job.spec;
   const double now = ctx_.now.wall;
-  const double size = s.tasks * std::max(s.cpus, kSlack) * std::max(s.estimate_s, 1.0);
-  double first = std::numeric_limits<double>::infinity(), last = 0;
-  double start = std::numeric_limits<double>::infinity();
+  double due = std::numeric_limits<double>::infinity(), last = 0;
   for (const auto& o : ctx_.settings.platform.objectives) {
     if (o.job_class != s.job_class) continue;
     double at = 0;
@@ -328,19 +321,13 @@
       at = job.submitted + *s.deadline_s * o.times;
     else if (o.kind == "finished")
       at = job.submitted + o.within_s;
-    else if (o.kind == "wait")
-      start = std::min(start, job.submitted + o.within_s);
-    if (at == 0) continue;
-    first = std::min(first, at);
+    else
+      continue;
     last = std::max(last, at);
+    if (at - s.estimate_s >= now) due = std::min(due, at);
   }
-  if (s.shape == Shape::kService || last == 0)
-    return {Stage::kFirst, job.submitted + s.deadline_s.value_or(4 * s.estimate_s)};
-  if (last - s.estimate_s < now) return {Stage::kHopeless, last};
-  if (job.placed + job.done > 0) start = std::numeric_limits<double>::infinity();
-  const double latest = std::min(start, last - kGuessed * s.estimate_s);
-  if (now > latest - kPressing * (latest - job.submitted)) return {Stage::kPressing, latest};
-  return {first - s.estimate_s >= now ? Stage::kFirst : Stage::kLater, size};
+  if (last == 0) return job.submitted + s.deadline_s.value_or(4 * s.estimate_s);
+  return std::isinf(due) ? last + kHopeless : due;
 }
 
 // A gang's tasks wait for one another: none is placed before all that wait have room.
@@ -368,7 +355,7 @@
       const Chunk& c = job->chunks[it->second];
       const bool ended = work_.count(*it) != 0;  // and may have a place to find anew
       if ((ended || c.done + c.placed < c.tasks.size()) && !backing_off(it->first))
-        waiting.push_back({job, it->second, urgency(*job)});
+        waiting.push_back({job, it->second, due_time(*job)});
     }
     ++it;
   }
@@ -377,7 +364,7 @@
   std::sort(waiting.begin(), waiting.end(), [](const Candidate& a, const Candidate& b) {
     if (a.job->spec.priority != b.job->spec.priority)
       return a.job->spec.priority > b.job->spec.priority;
-    if (a.urgency != b.urgency) return a.urgency < b.urgency;
+    if (a.due != b.due) return a.due < b.due;
     return std::pair(a.job->spec.id, a.chunk) < std::pair(b.job->spec.id, b.chunk);
   });
   cheapest_ = std::numeric_limits<double>::infinity();
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -42,6 +42,7 @@
 
 void Client::note(const core::CallDone& done) {
   if (done.status == 0 || done.status == 503) {
+    if (healthy()) failing_since_ = now_;
     last_failure_ = now_;
   } else {
     last_answer_ = now_;
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -89,7 +89,8 @@
   void tick(double now, int sharers);
   double writes_per_s() const { return writes_per_s_; }
   double last_answer() const { return last_answer_; }
-  double last_failure() const { return last_failure_; }
+  // When the first of the failures since then came.
+  double failing_since() const { return failing_since_; }
   // True while answers come.
   bool healthy() const { return last_answer_ >= last_failure_; }
 
@@ -99,7 +100,8 @@
   const PlatformSettings& settings_;
   CallFn call_;
   RateLimit requests_, writes_;
-  double now_ = 0, last_answer_ = 0, last_failure_ = -1, kept_ = 0, writes_per_s_;
+  double now_ = 0, last_answer_ = 0, last_failure_ = -1, failing_since_ = 0, kept_ = 0,
+         writes_per_s_;
 };
 
 }  // namespace rooksill::state
