Refused connections between controllers: life signs through the state, holders keep their blocks

Changed, the smallest exception found: a controller that misses another writes a life sign for it (a write each 0.4 reports, only then) with its silent machines and dark zones; who is alive so keeps its blocks. What waits is dealt by a rule that all share while no leader is heard, and the leader takes room on machines it hears nothing of from the state.

--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -17,6 +17,7 @@
 std::string machines_key(int block, int page) {
   return kPrefix + "m/" + std::to_string(block) + "/" + std::to_string(page);
 }
+std::string life_sign_key(const std::string& label) { return kPrefix + "n/" + label; }
 std::string type_key(const std::string& name) { return kPrefix + "c/" + name; }
 
 json encode_spec(const JobSpec& s) {
@@ -138,6 +139,25 @@
   return false;
 }
 
+json encode_life_sign(const LifeSign& s) {
+  return json{{"i", s.incarnation},
+              {"u", s.suspects_itself},
+              {"f", s.meant_for},
+              {"q", s.silent},
+              {"d", s.dark_zones}};
+}
+
+bool decode_life_sign(const json& v, LifeSign& s) try {
+  s.incarnation = v.at("i");
+  s.suspects_itself = v.at("u");
+  s.meant_for = v.at("f").get<std::vector<std::string>>();
+  s.silent = v.at("q").get<std::vector<std::string>>();
+  s.dark_zones = v.at("d").get<std::vector<std::string>>();
+  return true;
+} catch (const json::exception&) {
+  return false;
+}
+
 // By kind, so that type and zone are written once.
 json encode_machines(const std::map<std::string, Machine>& machines) {
   std::map<std::tuple<std::string, std::string, bool>, json> groups;
--- a/src/rooksill/core/codec.h
+++ b/src/rooksill/core/codec.h
@@ -16,6 +16,7 @@
 std::string lease_key(int block);
 std::string machines_key(int block, int page);
 std::string type_key(const std::string& name);
+std::string life_sign_key(const std::string& label);
 inline const std::string kLeaderKey = "rk/lead";
 inline const std::string kTermKey = "rk/term";
 
@@ -27,6 +28,8 @@
 bool decode_lease(const nlohmann::json& v, BlockLease& lease);
 nlohmann::json encode_machines(const std::map<std::string, Machine>& machines);
 bool decode_machines(const nlohmann::json& v, std::map<std::string, Machine>& machines);
+nlohmann::json encode_life_sign(const LifeSign& sign);
+bool decode_life_sign(const nlohmann::json& v, LifeSign& sign);
 nlohmann::json encode_type(const MachineType& type);
 bool decode_type(const nlohmann::json& v, MachineType& type);
 
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -184,9 +184,62 @@
   next_counts_ = ctx_.now.steady + period;
 }
 
+// For those that cannot be told anything over a connection: a write every so often, and only then.
+void Core::leave_life_sign() {
+  if (ctx_.now.steady < next_sign_ || !replica_.synced || !state_answers()) return;
+  const auto owed = peers_.owed(replica_);
+  if (owed.empty()) return;
+  LifeSign s;
+  s.incarnation = ctx_.incarnation;
+  s.suspects_itself = holder_.suspects_itself();
+  s.meant_for = owed;
+  s.silent = holder_.silent_machines();
+  s.dark_zones = holder_.dark_zones();
+  const auto key = life_sign_key(ctx_.settings.platform.label);
+  if (committer_.commit({}, {{key, encode_life_sign(s), 0}}, [](const state::TxnResult&) {})) {
+    ctx_.count("life_signs");
+    next_sign_ = ctx_.now.steady + peers_.sign_pause();
+  }
+}
+
+// Of machines whose holder is alive and cannot be heard, the leader knows what the state says.
+void Core::view_from_state() {
+  const double report = ctx_.settings.platform.report_s;
+  if (!leader_.leading() || ctx_.now.steady < next_state_views_) return;
+  next_state_views_ = ctx_.now.steady + report / 4;
+  for (size_t b = 0; b < replica_.leases.size(); ++b) {
+    const std::string& holder = replica_.leases[b].holder;
+    if (holder == ctx_.settings.platform.label || peers_.heard(holder) || !peers_.alive(holder))
+      continue;
+    const auto& silent = replica_.life_signs[holder].silent;
+    for (const auto& page : replica_.pages[b])
+      for (const auto& name : page.names) {
+        const Machine& m = *replica_.machine(name);
+        auto type = replica_.types.find(m.type);
+        if (type == replica_.types.end()) continue;
+        const MachineType& t = type->second;
+        const MachineLoad& load = replica_.load(name);
+        net::MachineView& v = views_[name];
+        told_by_[name] = holder;
+        v.name = name;
+        v.up = v.up || !load.tasks.empty() || ctx_.now.wall - m.rented > 2 * t.boot_s;
+        v.draining = false;  // its holder cannot be told, nor say that it is empty
+        v.silent = std::find(silent.begin(), silent.end(), name) != silent.end();
+        v.cpus_free = v.up && !v.silent ? t.cpus - load.cpus : 0;
+        v.gpus_free = t.gpus - load.gpus;
+        v.memory_free = t.memory_gb - load.memory;
+        v.tasks = static_cast<uint32_t>(load.tasks.size());
+        v.load = std::max(t.cpus > 0 ? load.cpus / t.cpus : 0,
+                          t.memory_gb > 0 ? load.memory / t.memory_gb : 0);
+      }
+  }
+}
+
 void Core::tick() {
   tell_counts();
   client_.tick(ctx_.now.steady, peers_.live());
+  peers_.see(replica_);
+  leave_life_sign();
   syncer_.tick();
   committer_.tick();
   holder_.set_state_away(!state_answers() &&
@@ -205,6 +258,7 @@
   if (now >= next_leader_) {
     next_leader_ = now + kLeaderTick;
     forget_views();
+    view_from_state();
     fleet_.observe();
     leader_.tick(views_);
     for (const auto& [name, address] : fleet_.take_addresses()) holder_.note_address(name, address);
@@ -254,6 +308,7 @@
   // Without a leader to route them, new jobs go to the blocks of the node that took them.
   const auto accepted = users_.take_accepted();
   if (leader_.absent()) {
+    holder_.deal_alone();
     for (const auto& id : accepted) {
       const Job* j = replica_.job(id);
       for (uint32_t c = 0; j != nullptr && c < j->chunks.size(); ++c) holder_.route_here({id, c});
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -34,6 +34,8 @@
   void on_peer(const PeerMessage& m);
   void note_pause(Time now);
   void tick();
+  void leave_life_sign();
+  void view_from_state();
   bool state_answers() const;
   void send_beat();
   void tell_counts();
@@ -56,6 +58,7 @@
   std::unordered_map<std::string, std::string> told_by_;  // machine -> label
   Leadership told_to_;  // the leader that all views of this node were told to
   double next_beat_ = 0, next_leader_ = 0, next_scan_ = 0, next_counts_ = 0;
+  double next_sign_ = 0, next_state_views_ = 0;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -16,6 +16,7 @@
 constexpr int kMaxInFlight = 2;
 constexpr double kBackoff = 0.15;      // after the state refused
 constexpr double kEntitled = 0.95;     // part of the time by which a cancellation outlasts a lease
+constexpr double kDealtReports = 2;    // that a chunk waits with one block while nobody routes
 constexpr int kZoneSample = 10;        // machines of a zone that are asked whether it is cut off
 constexpr double kZonePatience = 0.2;  // reports that their answers are waited for
 constexpr int kTested = 3;             // machines that a node which suspects itself asks at a time
@@ -228,6 +229,14 @@
   }
 }
 
+std::vector<std::string> Holder::silent_machines() const {
+  std::vector<std::string> out;
+  const size_t most = ctx_.settings.platform.state_value_bytes / kItemBytes / 2;
+  for (const auto& [name, w] : workers_)
+    if (w.silent && out.size() < most) out.push_back(name);
+  return out;
+}
+
 std::vector<std::string> Holder::dark_zones() const {
   std::vector<std::string> out;
   for (const auto& [zone, z] : zone_checks_)
@@ -880,6 +889,26 @@
   place_wanted_ = true;
 }
 
+void Holder::deal_alone() {
+  if (ctx_.now.steady < next_deal_) return;
+  const double report = ctx_.settings.platform.report_s;
+  next_deal_ = ctx_.now.steady + report / 6;
+  const int blocks = static_cast<int>(replica_.leases.size());
+  for (const auto& id : replica_.waiting_jobs) {
+    const Job& job = *replica_.job(id);
+    for (uint32_t c = 0; c < job.chunks.size(); ++c) {
+      const Chunk& chunk = job.chunks[c];
+      if (chunk.done + chunk.placed >= chunk.tasks.size()) continue;
+      if (holds(placement::dealt_block(ctx_.settings, replica_.types, job, c, blocks, ctx_.now.wall,
+                                       kDealtReports * report)))
+        routed_.insert({id, c});
+      else
+        routed_.erase({id, c});
+    }
+  }
+  if (!routed_.empty()) place_wanted_ = true;
+}
+
 std::string Holder::summary() {
   size_t reported = 0, taking = 0, sending = 0, placed = 0;
   std::array<size_t, 4> phases{};
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -74,6 +74,7 @@
   void report(uint64_t request, const std::string& body);
   void routes(const net::Routes& r);
   void route_here(const ChunkId& chunk) { routed_.insert(chunk); }
+  void deal_alone();  // while nobody routes: what waits, by a rule that all controllers share
   void note_address(const std::string& machine, const std::string& address);
 
   void tick();   // takes leases up and gives them up
@@ -92,6 +93,7 @@
   std::string summary();  // of the machines held, for the log
   bool holds(int block) const;
   bool suspects_itself() const { return suspects_itself_; }
+  std::vector<std::string> silent_machines() const;
   std::vector<std::string> dark_zones() const;  // cut off, as far as this node can see
   bool backing_off(const std::string& job) const;
   std::optional<net::Sighting> take_sighting();
@@ -214,6 +216,7 @@
   int in_flight_ = 0;
   int sends_ = 0, probes_ = 0;  // commands and probes under way
   double backoff_until_ = 0, next_place_ = 0;
+  double next_deal_ = 0;
   double last_answer_ = -1e9, next_test_ = 0;  // of any machine; when some are asked again
   size_t turn_ = 0;                            // of the views and addresses that are told again
   bool state_away_ = false;                    // from every controller
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -424,6 +424,12 @@
 void Leader::route(const std::set<std::string>& jobs) {
   const double now = ctx_.now.steady;
   const double patience = kRerouteReports * ctx_.settings.platform.report_s;
+  // Holders that hear no leader place what falls to them by a rule; so does the leader then.
+  const bool apart =
+      std::any_of(replica_.leases.begin(), replica_.leases.end(), [&](const auto& l) {
+        return !l.holder.empty() && l.holder != ctx_.settings.platform.label &&
+               !peers_.heard(l.holder);
+      });
   for (const auto& id : jobs) {
     const Job* found = replica_.job(id);
     if (found == nullptr || replica_.waiting_jobs.count(id) == 0) continue;
@@ -438,6 +444,10 @@
         block = it->second.block;
       } else if (together >= 0) {
         block = together;
+      } else if (apart) {
+        block = placement::dealt_block(ctx_.settings, replica_.types, job, c,
+                                       static_cast<int>(replica_.leases.size()), ctx_.now.wall,
+                                       2 * ctx_.settings.platform.report_s);
       } else {
         block = choose_block(job, c);
       }
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -92,6 +92,16 @@
   uint64_t term = 0;
 };
 
+// What a controller leaves in the state for those that it cannot talk to, or that cannot talk to
+// it.
+struct LifeSign {
+  uint64_t stamp = 0, incarnation = 0;
+  bool suspects_itself = false;
+  std::vector<std::string> meant_for;   // controllers that it does not hear, or that do not hear it
+  std::vector<std::string> silent;      // some of its silent machines
+  std::vector<std::string> dark_zones;  // whose machines it cannot reach
+};
+
 // What a task in a chunk or a machine in a list takes at most of a state value, in bytes: names are
 // at most 100 long. So neither a chunk nor a page of a list can outgrow its value.
 inline constexpr size_t kItemBytes = 128;
--- a/src/rooksill/core/peers.cc
+++ b/src/rooksill/core/peers.cc
@@ -47,11 +47,63 @@
   it->second.last_heard = std::min(it->second.last_heard, ctx_.now.steady - silence() / 2);
 }
 
-bool Peers::alive(const std::string& label) const {
+bool Peers::heard(const std::string& label) const {
   const Peer* p = find(label);
   return p != nullptr && ctx_.now.steady - p->last_heard < silence();
 }
 
+bool Peers::alive(const std::string& label) const {
+  const Peer* p = find(label);
+  return heard(label) ||
+         (p != nullptr && ctx_.now.steady - p->sign_at < kSignPatience * sign_pause());
+}
+
+// Connections that are refused are no deaths. Only signs meant for us count: a controller writes
+// them too while another is down, and its own death must not be found out the later for it.
+void Peers::see(const Replica& replica) {
+  if (!replica.synced) return;
+  const auto& self = ctx_.settings.platform.label;
+  for (auto& [label, p] : peers_) {
+    auto it = replica.life_signs.find(label);
+    if (it == replica.life_signs.end() || it->second.stamp <= p.sign_stamp) continue;
+    const LifeSign& s = it->second;
+    p.sign_stamp = s.stamp;
+    // What was there when this process started may be long out of date.
+    if (!signs_known_ || s.incarnation < p.incarnation) continue;
+    if (std::find(s.meant_for.begin(), s.meant_for.end(), self) == s.meant_for.end()) continue;
+    if (s.incarnation != p.incarnation) {
+      p.incarnation = s.incarnation;
+      p.seq = 0;
+      p.beat = {};
+    }
+    if (!alive(label)) p.first_heard = ctx_.now.steady;
+    p.sign_at = ctx_.now.steady;
+    if (heard(label)) continue;
+    p.beat.ready = p.beat.state_ok = true;
+    p.beat.suspects_itself = s.suspects_itself;
+    p.beat.dark_zones = s.dark_zones;
+  }
+  signs_known_ = true;
+}
+
+std::vector<std::string> Peers::owed(const Replica& replica) const {
+  std::vector<std::string> out;
+  const double now = ctx_.now.steady;
+  const auto& self = ctx_.settings.platform.label;
+  for (const auto& [label, p] : peers_) {
+    const double quiet = now - p.last_heard;
+    const bool lost = quiet > silence() / 2 &&
+                      std::min(quiet, now - p.sign_at) < 2 * ctx_.settings.platform.lease_s;
+    auto it = replica.life_signs.find(label);
+    const bool asks = now - p.sign_at < kSignPatience * sign_pause() &&
+                      it != replica.life_signs.end() &&
+                      std::find(it->second.meant_for.begin(), it->second.meant_for.end(), self) !=
+                          it->second.meant_for.end();
+    if (lost || asks) out.push_back(label);
+  }
+  return out;
+}
+
 int Peers::live() const {
   int n = 1;
   for (const auto& [label, p] : peers_) n += alive(label) ? 1 : 0;
@@ -60,7 +112,7 @@
 
 double Peers::last_heard_any() const {
   double last = -1e9;
-  for (const auto& [label, p] : peers_) last = std::max(last, p.last_heard);
+  for (const auto& [label, p] : peers_) last = std::max({last, p.last_heard, p.sign_at});
   return last;
 }
 
--- a/src/rooksill/core/peers.h
+++ b/src/rooksill/core/peers.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "rooksill/core/context.h"
+#include "rooksill/core/replica.h"
 #include "rooksill/net/peer_codec.h"
 
 namespace rooksill::core {
@@ -13,6 +14,8 @@
 struct Peer {
   uint64_t incarnation = 0, seq = 0;
   double last_heard = -1e9, first_heard = 0;
+  double sign_at = -1e9;    // when its last life sign for us was seen in the state
+  uint64_t sign_stamp = 0;  // of the last one known
   net::Beat beat;
 };
 
@@ -28,13 +31,21 @@
   void broadcast(net::PeerKind kind, const std::string& payload);
   void lost(const std::string& label);
 
+  double sign_pause() const { return kSignReports * ctx_.settings.platform.report_s; }
   // This process stood still for so long: that time is nobody's silence.
   void paused(double for_s) {
     for (auto& [label, p] : peers_) p.last_heard += for_s;
   }
 
+  // What the state holds of the others' life signs.
+  void see(const Replica& replica);
+  // The controllers that a life sign is owed to: heard until lately, and not now; or not hearing
+  // us.
+  std::vector<std::string> owed(const Replica& replica) const;
+
   bool alive(const std::string& label) const;
-  int live() const;  // with this one
+  bool heard(const std::string& label) const;  // over its own connection
+  int live() const;                            // with this one
   // Whether every other controller is heard, and says so.
   template <typename Says>
   bool all_say(Says says) const {
@@ -52,9 +63,14 @@
   }
 
  private:
+  static constexpr double kSignReports = 0.4;  // between two life signs
+  static constexpr double kSignPatience =
+      2.5;  // pauses after the last one that a peer counts as alive
+
   Context& ctx_;
   std::map<std::string, Peer> peers_;
   uint64_t seq_ = 0;
+  bool signs_known_ = false;
 };
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -133,6 +133,14 @@
       apply_machines(b, page, std::move(fresh), stamp);
       return true;
     }
+    case 'n': {
+      LifeSign fresh;
+      LifeSign& known = life_signs[name];
+      if (stamp <= known.stamp || !decode_life_sign(value, fresh)) return false;
+      fresh.stamp = stamp;
+      known = std::move(fresh);
+      return true;
+    }
     case 'c': {
       MachineType t;
       if (!decode_type(value, t)) return false;
--- a/src/rooksill/placement/grants.cc
+++ b/src/rooksill/placement/grants.cc
@@ -22,4 +22,18 @@
   return granted(limits->second.cpus_max, 2 * biggest, team, block, blocks);
 }
 
+int dealt_block(const Settings& settings, const std::map<std::string, core::MachineType>& types,
+                const core::Job& job, uint32_t chunk, int blocks, double wall, double turn_s) {
+  // One block at a time decides for a job whose tasks depend on each other's places.
+  const bool whole = job.spec.one_zone || job.spec.spread || job.spec.shape == core::Shape::kGang;
+  uint64_t sum = whole ? 0 : chunk;
+  for (unsigned char c : job.spec.id) sum = sum * 31 + c;
+  sum += static_cast<uint64_t>(std::max(0.0, wall - job.submitted) / turn_s);
+  for (int i = 0; i < blocks; ++i, ++sum) {
+    const int block = static_cast<int>(sum % static_cast<uint64_t>(blocks));
+    if (granted_cpus(settings, types, job.spec.team, block, blocks) >= job.spec.cpus) return block;
+  }
+  return 0;
+}
+
 }  // namespace rooksill::placement
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -367,6 +367,12 @@
       at_most(l, w.state().requests);
     } else if (what == "peer_bytes_at_most") {
       at_most(l, w.peer_bytes());
+    } else if (what == "token_at_most") {  // rises with each lease of a block
+      uint64_t most = 0;
+      for (int b = 0; b < options_.nodes; ++b)
+        if (const auto* v = w.state().value(rooksill::core::lease_key(b)))
+          most = std::max(most, v->at("t").get<uint64_t>());
+      at_most(l, most);
     } else if (what == "leader") {
       if (w.leader() < 0) fail(l, "nobody leads");
     } else if (what == "refused_at_most") {
