--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -162,7 +162,7 @@
 // go to others then, and with them whatever it could hear: it stays suspect until some machine
 // answers it again, or it would get them back at once, and hold and lose them by turns.
 void Holder::suspect(size_t silent, size_t up) {
-  const bool nearly_all = silent >= 2 && silent * 10 >= up * 8;
+  const bool nearly_all = up >= 2 && (silent * 10 >= up * 8 || all_dark_);
   if (nearly_all && !suspects_itself_) {
     ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
     suspects_itself_ = true;
@@ -172,7 +172,8 @@
   const double report = ctx_.settings.platform.report_s;
   if (!nearly_all && ctx_.now.steady - last_answer_ < report) {
     ctx_.info("holder", "machines answer: no longer suspecting this node");
-    suspects_itself_ = false;
+    suspects_itself_ = all_dark_ = false;
+    zone_checks_.clear();
     return;
   }
   if (!workers_.empty() || addresses_.empty() || ctx_.now.steady < next_test_) return;
@@ -224,8 +225,15 @@
                   z.sent, dark ? "cut off" : "there again");
       z.dark = dark;
       z.judged = true;
+      // All zones dark at once: this node is cut off, not they. It need not wait for silence.
+      all_dark_ = dark && std::all_of(workers_.begin(), workers_.end(), [&](const auto& w) {
+                    const Machine* m = replica_.machine(w.first);
+                    if (m == nullptr || !w.second.reported) return true;
+                    auto check = zone_checks_.find(m->zone);
+                    return check != zone_checks_.end() && check->second.dark;
+                  });
     }
-    if (z.dark) check_zone(zone);
+    if (z.dark && !workers_.empty()) check_zone(zone);
   }
 }
 
