--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -450,16 +450,18 @@
   const double since = silent_since_.emplace(name, now).first->second;
   const Machine* m = replica_.machine(name);
   auto shut = m != nullptr ? shut_until_.find(m->zone) : shut_until_.end();
-  if (shut != shut_until_.end() && shut->second > now) {
+  // Its own holder's word is there with the word that it is silent; the others' may come later.
+  const bool dark = m != nullptr && dark_to_holder_.count({m->block, m->zone}) != 0;
+  if (dark || (shut != shut_until_.end() && shut->second > now)) {
     // In a zone that is cut off work goes on until the machines' leases end; to release them would
     // only end it sooner, for want of as much room elsewhere. Afterwards it starts again as soon as
     // the zone is back, with its images there, unless there is room for it elsewhere by then.
     const double heard = ctx_.settings.operators.machine_silence_reports * p.report_s;
     if (now - since < p.lease_s - heard) return false;
-    const double cpus = replica_.load(name).cpus;
-    if (now - since < kCutLeases * p.lease_s && cpus > room_elsewhere_ && !can_leave(*m))
-      return false;
-    room_elsewhere_ -= cpus;
+    const core::MachineLoad& load = replica_.load(name);
+    const bool room = load.replica_cpus <= 0 && load.cpus <= room_elsewhere_;
+    if (now - since < kCutLeases * p.lease_s && !room && !can_leave(*m)) return false;
+    room_elsewhere_ -= load.cpus;
   }
   if (replica_.load(name).replica_cpus <= 0) return true;
   if (now >= next_silent_release_) {
@@ -971,8 +973,9 @@
 }
 
 void Fleet::tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
-                 const std::set<int>& suspect_blocks, const std::set<std::string>& dark_zones) {
+                 const std::set<int>& suspect_blocks, const DarkZones& dark_zones) {
   if (!active_) return;
+  dark_to_holder_ = dark_zones.to_holder;
   const double now = ctx_.now.steady;
   limit_.refill(now);
   std::erase_if(silent_since_, [&](const auto& s) {
@@ -982,7 +985,7 @@
   std::erase_if(gone_, [&](const auto& g) {
     return now - g.second > 4 * ctx_.settings.platform.cloud_list_lag_s + 30;
   });
-  watch_zones(views, dark_zones);
+  watch_zones(views, dark_zones.to_most);
   judge(views, suspect_blocks);
   send_releases();
   fetch_catalog();
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -32,6 +32,12 @@
   uint32_t count = 0;
 };
 
+// Zones whose machines do not answer: the holder of a block, or most holders.
+struct DarkZones {
+  std::set<std::pair<int, std::string>> to_holder;
+  std::set<std::string> to_most;
+};
+
 class Fleet {
  public:
   Fleet(core::Context& ctx, core::Replica& replica, state::Committer& committer);
@@ -44,7 +50,7 @@
   // While leading.
   bool wants_waiting() const { return active_ && ctx_.now.steady >= next_on_demand_; }
   void tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
-            const std::set<int>& suspect_blocks, const std::set<std::string>& dark_zones);
+            const std::set<int>& suspect_blocks, const DarkZones& dark_zones);
   void sighted(const net::Sighting& s);
   const std::set<std::string>& draining() const { return drain_; }
   std::vector<net::Move> take_moves() { return std::exchange(moves_, {}); }
@@ -147,6 +153,7 @@
   double next_on_demand_ = 0, next_move_ = 0, next_silent_release_ = 0;
   int silent_left_ = 0;  // how many more may be released before that
   std::map<std::string, double> silent_since_;
+  std::set<std::pair<int, std::string>> dark_to_holder_;
   double room_elsewhere_ = 0, next_room_ = 0;  // cores free on machines that are heard
 };
 
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -219,7 +219,8 @@
   for (auto& [zone, z] : zone_checks_) {
     const double passed = ctx_.now.steady - z.asked;
     if (!z.judged && passed > 1.2 * kZonePatience * report) {
-      const bool dark = z.sent >= kZoneSample / 2 && z.answered * 2 < z.sent;
+      // A few machines say little of a zone, unless it was found dark while there were more.
+      const bool dark = z.sent >= (z.dark ? 1 : kZoneSample / 2) && z.answered * 2 < z.sent;
       if (dark != z.dark)
         ctx_.info("holder", "zone {}: {} of {} machines asked answer, it is {}", zone, z.answered,
                   z.sent, dark ? "cut off" : "there again");
@@ -815,11 +816,17 @@
     if (std::exchange(w.settled, false)) continue;
     std::vector<Order> orders;
     reconcile(w, &orders);
-    if (replica_.synced_at < ctx_.woke) {
-      // After a pause the job may be cancelled and the task elsewhere, for all that is known here.
-      std::erase_if(orders, [](const Order& o) { return o.op == Order::Op::kStart; });
-      w.attention = true;
-      attention_.push_back(name);
+    if (replica_.synced_at < ctx_.woke || !entitled()) {
+      // After a pause, or long without the state service, the job may be cancelled and the task
+      // elsewhere, for all that is known here; and a worker in a new session would run it for a
+      // lease.
+      const auto starts =
+          std::erase_if(orders, [](const Order& o) { return o.op == Order::Op::kStart; });
+      if (starts > 0) {
+        w.next_push = ctx_.now.steady + ctx_.settings.platform.report_s / 20;
+        w.attention = true;
+        attention_.push_back(name);
+      }
     }
     // Forgetting alone is not urgent: the next answer carries it. Before a start it is, since an
     // older attempt that is still listed would make the worker refuse the new one.
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -220,7 +220,7 @@
   double last_answer_ = -1e9, next_test_ = 0;  // of any machine; when some are asked again
   size_t turn_ = 0;                            // of the views and addresses that are told again
   bool state_away_ = false;                    // from every controller
-  bool all_dark_ = false;    // no zone answered this node when it asked
+  bool all_dark_ = false;                      // no zone answered this node when it asked
   bool suspects_itself_ = false, place_wanted_ = false;
 };
 
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -292,20 +292,25 @@
   return out;
 }
 
-// Zones that most holders find cut off. One inside such a zone sees it otherwise.
-std::set<std::string> Leader::dark_zones() const {
-  std::set<std::string> holders, out;
-  std::map<std::string, size_t> votes;
-  for (const auto& l : replica_.leases) {
-    if (!holders.insert(l.holder).second) continue;
-    const Peer* p = peers_.find(l.holder);
-    const auto dark = l.holder == ctx_.settings.platform.label ? holder_.dark_zones()
-                      : p != nullptr                           ? p->beat.dark_zones
-                                                               : std::vector<std::string>();
-    for (const auto& zone : dark) ++votes[zone];
+// Zones that holders find cut off. One inside such a zone sees it otherwise.
+cloud::DarkZones Leader::dark_zones() const {
+  std::set<std::string> holders;
+  std::map<std::string, std::set<std::string>> votes;  // zone -> holders
+  cloud::DarkZones out;
+  for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
+    const std::string& holder = replica_.leases[static_cast<size_t>(b)].holder;
+    holders.insert(holder);
+    const Peer* p = peers_.find(holder);
+    const auto dark = holder == ctx_.settings.platform.label ? holder_.dark_zones()
+                      : p != nullptr                         ? p->beat.dark_zones
+                                                             : std::vector<std::string>();
+    for (const auto& zone : dark) {
+      out.to_holder.insert({b, zone});
+      votes[zone].insert(holder);
+    }
   }
-  for (const auto& [zone, n] : votes)
-    if (n * 2 > holders.size()) out.insert(zone);
+  for (const auto& [zone, by] : votes)
+    if (by.size() * 2 > holders.size()) out.to_most.insert(zone);
   return out;
 }
 
--- a/src/rooksill/core/peers.cc
+++ b/src/rooksill/core/peers.cc
@@ -90,17 +90,20 @@
   std::vector<std::string> out;
   const double now = ctx_.now.steady;
   const auto& self = ctx_.settings.platform.label;
+  bool due = false;
   for (const auto& [label, p] : peers_) {
     const double quiet = now - p.last_heard;
-    const bool lost = quiet > silence() / 2 &&
-                      std::min(quiet, now - p.sign_at) < 2 * ctx_.settings.platform.lease_s;
+    const bool lately = std::min(quiet, now - p.sign_at) < 2 * ctx_.settings.platform.lease_s;
     auto it = replica.life_signs.find(label);
     const bool asks = now - p.sign_at < kSignPatience * sign_pause() &&
                       it != replica.life_signs.end() &&
                       std::find(it->second.meant_for.begin(), it->second.meant_for.end(), self) !=
                           it->second.meant_for.end();
-    if (lost || asks) out.push_back(label);
+    due = due || asks || (lately && quiet > silence() / 3);
+    // With one lost, the others that missed a beat are likely lost as well: one sign for all.
+    if (asks || (lately && quiet > silence() / 5)) out.push_back(label);
   }
+  if (!due) out.clear();
   return out;
 }
 
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -240,7 +240,7 @@
     } else if (verb == "cloud_outage") {
       world().cloud_outage(for_s);
     } else if (verb == "machine_cut") {
-      world().machine_cut(static_cast<int>(l.get("count", 1)), for_s, hold);
+      world().machine_cut(static_cast<int>(l.get("count", 1)), for_s, hold, l.text("zone", ""));
     } else if (verb == "machine_deaf") {
       world().machine_deaf(static_cast<int>(l.get("count", 1)), for_s);
     } else if (verb == "copies") {
@@ -368,6 +368,16 @@
       at_most(l, w.state().requests);
     } else if (what == "peer_bytes_at_most") {
       at_most(l, w.peer_bytes());
+    } else if (what == "even") {  // nobody holds two blocks more than another
+      std::map<std::string, int> held;
+      for (int b = 0; b < options_.nodes; ++b) held["c" + std::to_string(b)] = 0;
+      for (int b = 0; b < options_.nodes; ++b)
+        if (const auto* v = w.state().value(rooksill::core::lease_key(b)))
+          ++held[v->at("h").get<std::string>()];
+      const auto [least, most] =
+          std::minmax_element(held.begin(), held.end(),
+                              [](const auto& a, const auto& b) { return a.second < b.second; });
+      if (most->second > least->second + 1) fail(l, most->first + " holds too many blocks");
     } else if (what == "token_at_most") {  // rises with each lease of a block
       uint64_t most = 0;
       for (int b = 0; b < options_.nodes; ++b)
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -532,11 +532,11 @@
   at(now_ + for_s, [this] { cloud_.outage = false; });
 }
 
-void World::machine_cut(int count, double for_s, bool hold) {
+void World::machine_cut(int count, double for_s, bool hold, const std::string& zone) {
   trouble(for_s);
   for (auto& [name, m] : machines_) {
     if (count <= 0) break;
-    if (m.worker->dead || m.cut_until > now_) continue;
+    if (m.worker->dead || m.cut_until > now_ || (!zone.empty() && m.worker->zone != zone)) continue;
     m.cut_until = now_ + for_s;
     m.hold = hold;
     --count;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -66,7 +66,7 @@
   void freeze(int node, double for_s);  // stands still while its clocks run on
   void state_outage(double for_s);
   void cloud_outage(double for_s);
-  void machine_cut(int count, double for_s, bool hold);
+  void machine_cut(int count, double for_s, bool hold, const std::string& zone = "");
   void machine_deaf(int count, double for_s);  // reports arrive, answers and commands do not
   void late_copies(double chance, double late_s, double for_s);
   void machine_hang(int count, double for_s);
