A long queue is passed over without a look at its tasks

Changed: what found no room is looked at first, a chunk's changes are looked up once; no decision differs.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -522,9 +522,12 @@
   if (job == nullptr) return nullptr;
   auto it = work_.find({task.job, task.index / job->chunk_tasks});
   if (it == work_.end()) return nullptr;
-  const uint32_t i = task.index % job->chunk_tasks;
-  for (const auto* changes : {&it->second.sent, &it->second.waiting})
-    if (auto c = changes->find(i); c != changes->end()) return &c->second;
+  return change_in(it->second, task.index % job->chunk_tasks);
+}
+
+const Holder::Change* Holder::change_in(const ChunkWork& work, uint32_t index) {
+  for (const auto* changes : {&work.sent, &work.waiting})
+    if (auto c = changes->find(index); c != changes->end()) return &c->second;
   return nullptr;
 }
 
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -149,6 +149,7 @@
 
   void change(const TaskRef& task, Change c);
   const Change* change_of(const TaskRef& task) const;
+  static const Change* change_in(const ChunkWork& work, uint32_t index);
   bool changing(const TaskRef& task) const { return change_of(task) != nullptr; }
   void queue(const ChunkId& id, ChunkWork& work);
   void unqueue(const ChunkId& id, ChunkWork& work);
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -383,28 +383,31 @@
   const Job& job = *c.job;
   const JobSpec& s = job.spec;
   const Chunk& chunk = job.chunks[c.chunk];
+  // Where no smaller need was met, this one will not be. Looked at before anything else: of a long
+  // queue nearly all chunks end here.
+  const bool plain =
+      s.zone.empty() && s.types.empty() && !s.spread && !s.one_zone && s.shape != Shape::kGang;
+  const int kind =
+      (s.spot ? 1 : 0) + (s.checkpoint_s > 0 ? 2 : 0) + 4 * static_cast<int>(s.priority);
+  auto known = unmet_.find(kind);
+  if (plain && known != unmet_.end() && s.cpus >= known->second.cpus &&
+      s.gpus >= known->second.gpus && s.memory_gb >= known->second.memory)
+    return;
   // Tasks of one chunk are alike: all of them look for places at once.
   std::vector<uint32_t> todo;
+  auto own = work_.find({s.id, c.chunk});
+  const ChunkWork* pending = own == work_.end() ? nullptr : &own->second;
   for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
     const TaskState& t = chunk.tasks[i];
-    const Change* change = change_of({s.id, c.chunk * job.chunk_tasks + i});
+    const Change* change = pending == nullptr ? nullptr : change_in(*pending, i);
     if (change != nullptr) {
       // Ended elsewhere, and not written yet: it may get its next place with the same change.
-      if (change->kind == Change::Kind::kLost && !work_.at({s.id, c.chunk}).busy) todo.push_back(i);
+      if (change->kind == Change::Kind::kLost && !pending->busy) todo.push_back(i);
     } else if (replica_.waits(t) && (t.machine.empty() || replica_.lists_cover(chunk))) {
       todo.push_back(i);
     }
   }
   if (todo.empty()) return;
-  // Where no smaller need was met, this one will not be.
-  const bool plain =
-      s.zone.empty() && s.types.empty() && !s.spread && !s.one_zone && s.shape != Shape::kGang;
-  const int kind =
-      (s.spot ? 1 : 0) + (s.checkpoint_s > 0 ? 2 : 0) + 4 * static_cast<int>(s.priority);
-  auto known = unmet_.find(kind);
-  if (plain && known != unmet_.end() && s.cpus >= known->second.cpus &&
-      s.gpus >= known->second.gpus && s.memory_gb >= known->second.memory)
-    return;
   std::map<std::string, uint32_t> zones;
   std::string only_zone;
   if (s.spread || s.one_zone) {
