No waiver in an outage: a holder answers only as far as it knows of all cancellations

Cause: entitled() was waived once every controller said that the state service was away. Change: controllers number what they learn to be cancelled, pass it on at once and again until confirmed, and say how far they have one another's; a beat that repeats our time and says no more than we have vouches up to that time (docs/safety.md). Peers are written to before users are answered. An end of a job is final in a replica, whatever late record comes after. Ruled out: falling back to the age of the state's knowledge alone, which lets all work die.

--- /dev/null
+++ b/src/rooksill/core/cancellations.h
@@ -0,0 +1,61 @@
+// What was cancelled, between controllers: each numbers what it learns and passes it on. The others
+// say how far they have it, and each knows up to which moment nothing that was told to a user can
+// be unknown to it. The argument is in docs/safety.md.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+
+#include "rooksill/core/context.h"
+#include "rooksill/core/peers.h"
+#include "rooksill/core/replica.h"
+#include "rooksill/net/peer_codec.h"
+
+namespace rooksill::core {
+
+class Cancellations {
+ public:
+  Cancellations(Context& ctx, Replica& replica, Peers& peers)
+      : ctx_(ctx), replica_(replica), peers_(peers) {}
+
+  // Takes up what the replica has learned. Comes before anything is said to peers or users.
+  void collect();
+  // To those that lack some: at once what is new, and again what they have not confirmed.
+  void tell();
+  void fill(net::Beat& beat) const;
+
+  void heard(const std::string& label, const net::Cancelled& message);
+  void heard(const std::string& label, const net::Beat& beat);
+
+  // Every cancellation that any controller told a user before this moment, by our steady clock, is
+  // in the replica.
+  double known_at() const;
+
+ private:
+  // Of one peer's process; what it says is worth nothing for another process of the same node.
+  struct Word {
+    uint64_t incarnation = 0;
+    double ready_at = -1;   // when it was first heard to know the state
+    double said_at = -1e9;  // by its clock, when it made the last beat that came
+    uint64_t said = 0;      // how many it had learned by then
+    uint64_t got = 0;       // all up to here are known here
+    std::deque<std::pair<double, uint64_t>> samples;  // (when it came, how many it said)
+    uint64_t confirmed = 0;                           // how many of ours it has
+    uint64_t told = 0;                                // how many of ours it was sent
+    double next_tell = -1e9;  // when what it has not confirmed is sent again
+  };
+  Word& word_of(const std::string& label);
+
+  Context& ctx_;
+  Replica& replica_;
+  Peers& peers_;
+  std::deque<std::string> learned_;  // those numbered first_ and up
+  uint64_t first_ = 1;
+  bool was_synced_ = false;
+  std::map<std::string, Word> words_;
+  // By peer: all that it told a user before this moment is known. True whatever becomes of it.
+  std::map<std::string, double> vouched_;
+};
+
+}  // namespace rooksill::core
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -26,7 +26,8 @@
       committer_(ctx_, replica_, client_),
       syncer_(ctx_, replica_, client_),
       peers_(ctx_),
-      holder_(ctx_, replica_, client_, committer_),
+      cancellations_(ctx_, replica_, peers_),
+      holder_(ctx_, replica_, client_, committer_, cancellations_),
       fleet_(ctx_, replica_, committer_),
       leader_(ctx_, replica_, client_, committer_, peers_, holder_, fleet_),
       users_(ctx_, replica_, client_, committer_) {
@@ -73,6 +74,7 @@
       net::Beat beat;
       if (!net::unpack(e->payload, beat)) return;
       for (const auto& a : beat.addresses) holder_.note_address(a.machine, a.address);
+      cancellations_.heard(e->label, beat);
       peers_.all()[e->label].beat = std::move(beat);
       return;
     }
@@ -94,6 +96,11 @@
       }
       return;
     }
+    case net::PeerKind::kCancelled: {
+      net::Cancelled c;
+      if (net::unpack(e->payload, c)) cancellations_.heard(e->label, c);
+      return;
+    }
     case net::PeerKind::kRoutes: {
       net::Routes r;
       if (net::unpack(e->payload, r)) holder_.routes(r);
@@ -165,6 +172,7 @@
   b.term = leader_.term();
   b.addresses = holder_.take_addresses();
   b.dark_zones = holder_.dark_zones();
+  cancellations_.fill(b);
   peers_.broadcast(net::PeerKind::kBeat, net::pack(b));
 }
 
@@ -236,14 +244,14 @@
 }
 
 void Core::tick() {
+  cancellations_.collect();
+  cancellations_.tell();
   tell_counts();
   client_.tick(ctx_.now.steady, peers_.live());
   peers_.see(replica_);
   leave_life_sign();
   syncer_.tick();
   committer_.tick();
-  holder_.set_state_away(!state_answers() &&
-                         peers_.all_say([](const net::Beat& b) { return !b.state_ok; }));
   holder_.tick();
   const double now = ctx_.now.steady;
   if (now >= next_scan_) {
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -3,6 +3,7 @@
 
 #include "rooksill/api/users.h"
 #include "rooksill/cloud/fleet.h"
+#include "rooksill/core/cancellations.h"
 #include "rooksill/core/context.h"
 #include "rooksill/core/holder.h"
 #include "rooksill/core/leader.h"
@@ -49,6 +50,7 @@
   state::Committer committer_;
   state::Syncer syncer_;
   Peers peers_;
+  Cancellations cancellations_;
   Holder holder_;
   cloud::Fleet fleet_;
   Leader leader_;
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -40,8 +40,13 @@
   return std::any_of(images.begin(), images.end(), [&](const auto& i) { return i.first == image; });
 }
 
-Holder::Holder(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer)
-    : ctx_(ctx), replica_(replica), client_(client), committer_(committer) {}
+Holder::Holder(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
+               const Cancellations& cancellations)
+    : ctx_(ctx),
+      replica_(replica),
+      client_(client),
+      committer_(committer),
+      cancellations_(cancellations) {}
 
 bool Holder::holds(int block) const { return held_.count(block) != 0; }
 
@@ -304,12 +309,13 @@
   if (fresh_addresses_.size() <= workers_.size()) fresh_addresses_.push_back({machine, address});
 }
 
-// An answer lets a worker's tasks live for another lease. A job may have been cancelled since the
-// state was last heard of, and its tasks have to be gone within `cancel_s` then, though this node
-// knows nothing of it. When all nodes are without the state service nobody can cancel anything.
+// An answer lets a worker's tasks live for another lease. A job may have been cancelled since this
+// node last knew of all cancellations, and its tasks have to be gone within `cancel_s` then. That
+// nobody can cancel anything now, since the state service is away for all, says nothing of what
+// another controller confirmed just before.
 bool Holder::entitled() const {
   const auto& p = ctx_.settings.platform;
-  return state_away_ || ctx_.now.steady - replica_.synced_at < kEntitled * (p.cancel_s - p.lease_s);
+  return ctx_.now.steady - cancellations_.known_at() < kEntitled * (p.cancel_s - p.lease_s);
 }
 
 void Holder::report(uint64_t request, const std::string& body) {
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <unordered_map>
 
+#include "rooksill/core/cancellations.h"
 #include "rooksill/core/context.h"
 #include "rooksill/core/replica.h"
 #include "rooksill/net/peer_codec.h"
@@ -68,7 +69,8 @@
 
 class Holder {
  public:
-  Holder(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer);
+  Holder(Context& ctx, Replica& replica, state::Client& client, state::Committer& committer,
+         const Cancellations& cancellations);
 
   // A worker's report; answers it.
   void report(uint64_t request, const std::string& body);
@@ -84,7 +86,6 @@
   void flush();  // changes of state, reports' results first
   void push();   // commands that must be quick
   void want_place() { place_wanted_ = true; }
-  void set_state_away(bool away) { state_away_ = away; }
 
   // What changed since the last call, and some others in turn; everything if `all`.
   std::vector<net::MachineView> take_views(bool all);
@@ -194,6 +195,7 @@
   Replica& replica_;
   state::Client& client_;
   state::Committer& committer_;
+  const Cancellations& cancellations_;
   std::unordered_map<std::string, Worker> workers_;
   std::unordered_map<std::string, std::string> addresses_;
   std::vector<net::Address> fresh_addresses_;
@@ -220,7 +222,6 @@
   double next_deal_ = 0;
   double last_answer_ = -1e9, next_test_ = 0;  // of any machine; when some are asked again
   size_t turn_ = 0;                            // of the views and addresses that are told again
-  bool state_away_ = false;                    // from every controller
   bool all_dark_ = false;                      // no zone answered this node when it asked
   bool suspects_itself_ = false, place_wanted_ = false;
 };
--- a/src/rooksill/core/peers.h
+++ b/src/rooksill/core/peers.h
@@ -46,12 +46,6 @@
   bool alive(const std::string& label) const;
   bool heard(const std::string& label) const;  // over its own connection
   int live() const;                            // with this one
-  // Whether every other controller is heard, and says so.
-  template <typename Says>
-  bool all_say(Says says) const {
-    return std::all_of(peers_.begin(), peers_.end(),
-                       [&](const auto& p) { return alive(p.first) && says(p.second.beat); });
-  }
   double last_heard_any() const;
   std::map<std::string, Peer>& all() { return peers_; }
   const Peer* find(const std::string& label) const {
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -155,16 +155,21 @@
 void Replica::apply_job(const std::string& id, Job fresh, uint64_t stamp) {
   auto it = jobs.find(id);
   if (it == jobs.end()) {
+    const JobEnd end = cancelled_early_.erase(id) != 0 && fresh.end == JobEnd::kOpen
+                           ? JobEnd::kCancelled
+                           : fresh.end;
+    fresh.end = JobEnd::kOpen;
     fresh.spec.id = id;
     fresh.image = image_number(fresh.spec.image);
-    if (fresh.end != JobEnd::kDone) {
+    if (end != JobEnd::kDone) {
       fresh.chunks.resize(chunk_count(fresh));
       for (uint32_t c = 0; c < fresh.chunks.size(); ++c)
         fresh.chunks[c].tasks.resize(chunk_size(fresh, c));
     }
     it = jobs.emplace(id, std::move(fresh)).first;
+    note_end(it->second, end);
   } else {
-    it->second.end = fresh.end;  // only the end of a job changes after its creation
+    note_end(it->second, fresh.end);  // only the end of a job changes after its creation
   }
   Job& j = it->second;
   j.stamp = stamp;
@@ -183,6 +188,29 @@
     j.done = j.spec.tasks;
     j.placed = 0;
   }
+  touch(j);
+}
+
+// An end is final: a record from before it, that comes late, does not take it back.
+void Replica::note_end(Job& j, JobEnd end) {
+  if (end == j.end || j.over()) return;
+  j.end = end;
+  if (end == JobEnd::kCancelled) cancelled.push_back(j.spec.id);
+}
+
+void Replica::note_cancelled(const std::string& id) {
+  Job* j = job(id);
+  if (j == nullptr) {
+    cancelled_early_.insert(id);
+    return;
+  }
+  if (j->over()) return;
+  note_end(*j, JobEnd::kCancelled);
+  touch(*j);
+}
+
+void Replica::touch(const Job& j) {
+  const std::string& id = j.spec.id;
   if (j.over())
     open_jobs.erase(id);
   else
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -40,6 +40,8 @@
   bool apply(const std::string& key, const nlohmann::json& value, uint64_t stamp);
   void remove(const std::string& key, uint64_t stamp);
   void forget_leader(uint64_t epoch);
+  // Another controller has learned that the job is cancelled. Its record comes later.
+  void note_cancelled(const std::string& id);
 
   Job* job(const std::string& id);
   const Job* job(const std::string& id) const;
@@ -85,12 +87,15 @@
   std::vector<TaskEvent> events;
   std::set<std::string> touched_jobs;
   std::unordered_set<std::string> touched_machines;
+  std::vector<std::string> cancelled;  // learned of since this was last emptied
 
  private:
   void count(Job& job, Chunk& chunk);
   void index(const Job& job);
   void recount(const std::string& machine);
   void apply_job(const std::string& id, Job fresh, uint64_t stamp);
+  void note_end(Job& job, JobEnd end);
+  void touch(const Job& job);
   void apply_chunk(Job& job, uint32_t index, std::vector<TaskState> tasks, uint64_t stamp);
   void apply_machines(int block, int page, std::map<std::string, Machine> fresh, uint64_t stamp);
   void put_on(const Job& job, const TaskRef& ref, const std::string& machine);
@@ -101,6 +106,7 @@
   std::unordered_map<std::string, MachineLoad> loads_;
   std::unordered_map<std::string, int> image_numbers_;
   std::vector<std::string> image_names_;
+  std::set<std::string> cancelled_early_;  // whose record is not here yet
 };
 
 size_t chunk_count(const Job& job);
--- a/src/rooksill/core/service.cc
+++ b/src/rooksill/core/service.cc
@@ -89,8 +89,9 @@
                                                                  : spdlog::level::debug;
         spdlog::log(level, "{}: {}", line.component, line.text);
       }
-      for (const auto& r : out.replies) server_.reply(r.request, r.status, r.body, r.retry_after_s);
+      // The other controllers first: they are to know of a cancellation before its user does.
       for (const auto& p : out.peer) peers_.send(p.label, p.bytes);
+      for (const auto& r : out.replies) server_.reply(r.request, r.status, r.body, r.retry_after_s);
       for (const auto& c : out.calls) client_.call(c);
     }
   }
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -9,7 +9,14 @@
 
 namespace rooksill::net {
 
-enum class PeerKind : int { kBeat = 1, kUpdates = 2, kRoutes = 3, kSighting = 4, kViews = 5 };
+enum class PeerKind : int {
+  kBeat = 1,
+  kUpdates = 2,
+  kRoutes = 3,
+  kSighting = 4,
+  kViews = 5,
+  kCancelled = 6
+};
 
 // What a machine's holder says of it.
 struct MachineView {
@@ -38,13 +45,25 @@
   MSGPACK_DEFINE_ARRAY(machine, address)
 };
 
+// How far a controller has what another one said, and the time on the last of its beats.
+struct Heard {
+  std::string label;
+  uint64_t incarnation = 0, cancelled = 0;
+  double said_at = 0;
+  MSGPACK_DEFINE_ARRAY(label, incarnation, cancelled, said_at)
+};
+
 struct Beat {
   bool ready = false, state_ok = false, suspects_itself = false;
   uint64_t term = 0;                    // this node leads in this term; 0: it does not
   std::vector<Address> addresses;       // lately learned, and some others in turn
   std::vector<std::string> dark_zones;  // whose machines this node cannot reach
   double state_age = 1e9;               // s since the state service last answered it
-  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones, state_age)
+  double said_at = -1e9;                // by the sender's steady clock
+  uint64_t cancelled = 0;               // cancellations that it has learned of, in all
+  std::vector<Heard> heard;             // one without these, of an older form, vouches for nothing
+  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones, state_age,
+                       said_at, cancelled, heard)
 };
 
 struct Update {
@@ -58,6 +77,13 @@
   MSGPACK_DEFINE_ARRAY(items)
 };
 
+// Jobs that the sender has learned to be cancelled, numbered from `first` by its process.
+struct Cancelled {
+  uint64_t first = 1;
+  std::vector<std::string> jobs;
+  MSGPACK_DEFINE_ARRAY(first, jobs)
+};
+
 struct Route {
   std::string job;
   uint32_t chunk = 0;
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -223,6 +223,9 @@
     } else if (verb == "crash") {
       if (l.word(1) == "all")
         for (int i = 0; i < options_.nodes; ++i) world().crash(i, for_s);
+      else if (l.word(1) == "others")
+        for (int i = 1; i < options_.nodes; ++i)
+          world().crash((std::max(0, world().leader()) + i) % options_.nodes, for_s);
       else
         world().crash(node_of(l.word(1)), for_s);
     } else if (verb == "roll") {
@@ -366,6 +369,8 @@
       at_most(l, w.state().writes);
     } else if (what == "requests_at_most") {
       at_most(l, w.state().requests);
+    } else if (what == "sessions_at_most") {
+      at_most(l, w.most_sessions());
     } else if (what == "peer_bytes_at_most") {
       at_most(l, w.peer_bytes());
     } else if (what == "even") {  // nobody holds two blocks more than another
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -668,6 +668,13 @@
   return n;
 }
 
+uint64_t World::most_sessions() const {
+  uint64_t most = 0;
+  for (const auto& [name, m] : machines_)
+    if (!m.worker->dead) most = std::max(most, m.worker->session);
+  return most;
+}
+
 int World::starts_of(const std::string& id) const {
   auto it = starts_.find(id);
   return it == starts_.end() ? 0 : it->second;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -80,6 +80,7 @@
   UserJob* job(const std::string& id);
   int running(const std::string& id) const;
   int machines() const;
+  uint64_t most_sessions() const;  // of a machine: each but the first began with a lease that ended
   int starts_of(const std::string& id) const;
   bool all_over() const;
   uint64_t peer_bytes() const { return peer_bytes_; }
