--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -48,7 +48,11 @@
       committer_(committer),
       cancellations_(cancellations) {}
 
-bool Holder::holds(int block) const { return held_.count(block) != 0; }
+// A block that went to another and came back within a batch is not the one that was held.
+bool Holder::holds(int block) const {
+  auto it = held_.find(block);
+  return it != held_.end() && it->second == replica_.leases[static_cast<size_t>(block)].stamp;
+}
 
 bool Holder::backing_off(const std::string& job) const {
   auto it = troubles_.find(job);
@@ -69,8 +73,8 @@
 // ---- leases --------------------------------------------------------------------------------
 
 void Holder::activate(int block) {
-  held_.insert(block);
   const BlockLease& lease = replica_.leases[static_cast<size_t>(block)];
+  held_[block] = lease.stamp;
   ctx_.info("holder", "block {} taken, token {}", block, lease.token);
   drop_workers(block);
   for (const auto& page : replica_.pages[static_cast<size_t>(block)])
@@ -97,7 +101,7 @@
     // here before a worker's tasks are judged.
     if (mine && !holds(b) && replica_.synced_epoch >= lease.stamp) {
       activate(b);
-    } else if (!mine && holds(b)) {
+    } else if (held_.count(b) != 0 && !holds(b)) {
       ctx_.info("holder", "block {} given up, now with {}", b, lease.holder);
       held_.erase(b);
       drop_workers(b);
@@ -160,6 +164,10 @@
     const TaskState* t = replica_.task(e.first);
     return t == nullptr || t->machine.empty() || t->attempt != e.second;
   });
+  for (auto it = maybe_lost_.begin(); it != maybe_lost_.end();) {
+    const TaskRef ref = (it++)->first;
+    may_be_lost_yet(ref);
+  }
   if (!routed_.empty()) place_wanted_ = true;
 }
 
@@ -458,7 +466,7 @@
     // state has it: its image is there, and nothing has to be written. After a cut that outlasts
     // the lease that is true of hundreds of machines at once. A machine that is to go is no place
     // for it.
-    if (job->over() || draining || w.bad || drain_.count(w.name) != 0) {
+    if (job->over() || draining || w.bad || drain_.count(w.name) != 0 || may_be_lost_yet(ref)) {
       if (sure) change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
     } else {
       order({Order::Op::kStart, ref, s->attempt, 0});
@@ -545,6 +553,7 @@
     w->second.room_stale = w->second.view_stale = true;
     if (c.kind == Change::Kind::kPlace) w->second.placing.insert(task);
   }
+  c.lease = replica_.leases[static_cast<size_t>(c.block)].stamp;
   const ChunkId id{task.job, task.index / job->chunk_tasks};
   ChunkWork& work = work_[id];
   if (work.waiting.empty()) work.since = ctx_.now.steady;
@@ -554,6 +563,8 @@
   if (c.kind == Change::Kind::kPlace && before != work.waiting.end() &&
       before->second.kind == Change::Kind::kLost) {
     c.from = before->second.machine;
+    c.from_block = before->second.block;
+    c.from_lease = before->second.lease;
     work.waiting.erase(before);
   }
   work.waiting.insert({index, std::move(c)});
@@ -607,9 +618,17 @@
   return newest;
 }
 
+bool Holder::under(int block, uint64_t lease) const {
+  return holds(block) && replica_.leases[static_cast<size_t>(block)].stamp == lease;
+}
+
+// A change is worth what its holder knew. Once the block was with another in between, that one may
+// have started a lost task in place, which changes nothing in the state: so each lease that a
+// change rests on has to be the one it was decided under, that of the machine left as well.
 bool Holder::apply_change(const Job& job, const Chunk& chunk, TaskState& s, const Change& c) const {
-  if (!holds(c.block)) return false;
+  if (!under(c.block, c.lease)) return false;
   if (c.kind == Change::Kind::kPlace) {
+    if (!c.from.empty() && !under(c.from_block, c.from_lease)) return false;
     const bool reported_gone = !c.from.empty() && !s.done && s.machine == c.from;
     if (job.over() || (!reported_gone && !replica_.waits(s)) || s.attempt + 1 != c.attempt)
       return false;
@@ -678,8 +697,8 @@
         continue;
       }
       places = places || c->second.kind == Change::Kind::kPlace;
-      extra[lease_key(c->second.block)] =
-          replica_.leases[static_cast<size_t>(c->second.block)].stamp;
+      extra[lease_key(c->second.block)] = c->second.lease;
+      if (!c->second.from.empty()) extra[lease_key(c->second.from_block)] = c->second.from_lease;
       ++c;
     }
     if (work.waiting.empty()) {
@@ -773,6 +792,31 @@
   }
 }
 
+// Read back unchanged, a chunk may yet be changed by the transaction that got no answer, until some
+// other one has changed it. A task that it says is lost must not be started in place meanwhile,
+// which would change nothing: it is written lost anew, and goes on from there.
+void Holder::note_unknown(const std::vector<ChunkId>& chunks) {
+  for (const auto& id : chunks) {
+    const Job* job = replica_.job(id.first);
+    auto work = work_.find(id);
+    if (job == nullptr || work == work_.end() || id.second >= job->chunks.size()) continue;
+    for (const auto& [i, c] : work->second.sent)
+      if (c.kind == Change::Kind::kLost || !c.from.empty())
+        maybe_lost_[{id.first, id.second * job->chunk_tasks + i}] = job->chunks[id.second].stamp;
+  }
+}
+
+bool Holder::may_be_lost_yet(const TaskRef& task) {
+  auto it = maybe_lost_.find(task);
+  if (it == maybe_lost_.end()) return false;
+  const Job* job = replica_.job(task.job);
+  const size_t chunk = job != nullptr ? task.index / job->chunk_tasks : 0;
+  if (job != nullptr && chunk < job->chunks.size() && job->chunks[chunk].stamp == it->second)
+    return true;
+  maybe_lost_.erase(it);
+  return false;
+}
+
 void Holder::settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
                     std::vector<std::string> keys) {
   switch (result.outcome) {
@@ -796,6 +840,7 @@
       });
       return;
     case Outcome::kUnknown:
+      note_unknown(chunks);
       committer_.refresh(std::move(keys), [this, chunks] { drop_sent(chunks); });
       return;
   }
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -106,7 +106,11 @@
     uint64_t attempt = 0;
     int block = 0;       // whose lease guards it
     uint64_t basis = 0;  // of a placement: what it was decided on
-    std::string from;    // of a placement: the machine that reported the attempt before gone
+    uint64_t lease = 0;  // revision of the block's lease that it was decided under
+    // Of a placement: the machine that reported the attempt before gone, and the lease for that.
+    std::string from;
+    int from_block = 0;
+    uint64_t from_lease = 0;
   };
   // In which order changes go out. Results that complete a job or would be lost first, then
   // decisions and losses by priority; results that complete nothing wait for writes to spare.
@@ -152,6 +156,9 @@
   const Change* change_of(const TaskRef& task) const;
   static const Change* change_in(const ChunkWork& work, uint32_t index);
   bool changing(const TaskRef& task) const { return change_of(task) != nullptr; }
+  bool under(int block, uint64_t lease) const;
+  bool may_be_lost_yet(const TaskRef& task);
+  void note_unknown(const std::vector<ChunkId>& chunks);
   void queue(const ChunkId& id, ChunkWork& work);
   void unqueue(const ChunkId& id, ChunkWork& work);
   void drop_change(const ChunkId& id, uint32_t index, const Change& c);
@@ -199,7 +206,7 @@
   std::unordered_map<std::string, Worker> workers_;
   std::unordered_map<std::string, std::string> addresses_;
   std::vector<net::Address> fresh_addresses_;
-  std::set<int> held_;
+  std::map<int, uint64_t> held_;  // blocks, with the revision of their lease
   std::map<ChunkId, ChunkWork> work_;
   std::set<std::pair<Rank, ChunkId>> queue_;
   std::set<ChunkId> routed_;
@@ -207,6 +214,8 @@
   std::set<std::string> drain_;
   std::map<std::string, ZoneCheck> zone_checks_;
   std::unordered_map<std::string, JobTrouble> troubles_;
+  // Lost by a transaction that may still be carried out, on the chunk's revision it was sent with.
+  std::map<TaskRef, uint64_t> maybe_lost_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
   std::map<std::tuple<int, std::string, bool>, double> grants_;
