Each meeting of troubles has its scenario; machines that cannot report are given back

The stand-in world brings about: transactions carried out late without an answer, slow state, machines that reach no controller, cancellations by the dozen with hanging machines and at the very end of jobs, odd requests, a zone cut off with a controller in it, the gap; random faults draw all of them. Its checker counts jobs accepted that cannot run or lack a field, jobs that wait for 30 s with room for them once troubles are over, starts after a confirmation. Found by machine_mute: a machine that answers commands and can bring no report was taken for healthy; its lease ran out every lease_s and no long task ended there. It counts as silent after 0.6 of a lease without a report of its own, unless that is most of the holder's machines.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -17,6 +17,7 @@
 constexpr double kBackoff = 0.15;      // after the state refused
 constexpr double kEntitled = 0.95;     // part of the time by which a cancellation outlasts a lease
 constexpr double kDealtReports = 2;    // that a chunk waits with one block while nobody routes
+constexpr double kMuteLease = 0.6;     // of a lease without a report, though the machine answers
 constexpr int kZoneSample = 10;        // machines of a zone that are asked whether it is cut off
 constexpr double kZonePatience = 0.2;  // reports that their answers are waited for
 constexpr int kTested = 3;             // machines that a node which suspects itself asks at a time
@@ -133,7 +134,7 @@
     w.block = m->block;
     w.token = replica_.leases[static_cast<size_t>(m->block)].token << kTokenShift;
     w.dirty = w.token - 1;  // any former holder's command may still be under way
-    w.last_heard = ctx_.now.steady;
+    w.last_heard = w.last_report = ctx_.now.steady;
     auto a = addresses_.find(name);
     if (a != addresses_.end()) w.address = a->second;
     attend(workers_.emplace(name, std::move(w)).first->second);
@@ -144,7 +145,15 @@
 void Holder::scan() {
   const double report = ctx_.settings.platform.report_s;
   const double silence = ctx_.settings.operators.machine_silence_reports * report;
-  size_t up = 0, silent = 0;
+  size_t up = 0, silent = 0, mute = 0;
+  // A machine that answers and brings no reports cannot reach the controllers: its lease runs out
+  // again and again, and with it all its work. Where it is most of them, it is this node.
+  auto is_mute = [&](const Worker& w) {
+    return w.reported && ctx_.now.steady - std::max(w.last_report, ctx_.woke) >
+                             kMuteLease * ctx_.settings.platform.lease_s;
+  };
+  for (const auto& [name, w] : workers_) mute += is_mute(w) ? 1 : 0;
+  const bool few_mute = mute * 2 <= workers_.size();
   for (auto& [name, w] : workers_) {
     probe(w);
     const double age = quiet_for(w);
@@ -152,7 +161,7 @@
     const bool late = expected && w.probe_failed && age > kProbeReports * report;
     if (expected) ++up;
     if (late) ++silent;
-    const bool is_silent = late && (age > silence || w.notice_until);
+    const bool is_silent = (late && (age > silence || w.notice_until)) || (few_mute && is_mute(w));
     if (is_silent != w.silent) {
       w.silent = is_silent;
       w.view_stale = true;
@@ -353,6 +362,8 @@
   }
   ctx_.count("reports");
   w.address = r->address;
+  if (!w.reported || std::pair(r->session, r->seq) > std::pair(w.session, w.seq))
+    w.last_report = ctx_.now.steady;
   take_report(w, *r);
   std::vector<Order> orders;
   reconcile(w, &orders);
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -46,7 +46,8 @@
   uint64_t sending = 0;  // token of the direct command under way, 0: none
   uint64_t session = 0, seq = 0, reported_token = 0;
   bool reported = false;
-  double last_heard = 0;
+  double last_heard = 0;   // in whatever way
+  double last_report = 0;  // that it brought itself: only an answer to one renews its lease
   double next_probe = 0, next_push = 0;
   bool probing = false, probe_failed = false;
   int failed_probes = 0;
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -262,6 +262,20 @@
       world().lose_answers(l.get("chance", 0.3), for_s);
     } else if (verb == "late") {
       world().late_requests(l.get("chance", 0.3), l.get("by", 3), for_s);
+    } else if (verb == "zone_cut") {
+      world().zone_cut(l.text("zone", "a"), node_of(l.word(1)), for_s, hold);
+    } else if (verb == "late_writes") {
+      world().late_writes(l.get("chance", 0.3), l.get("by", 6), for_s);
+    } else if (verb == "state_slow") {
+      world().slow_state(l.get("by", 0.8), for_s);
+    } else if (verb == "machine_mute") {
+      world().machine_mute(static_cast<int>(l.get("count", 1)), for_s, l.text("zone", ""));
+    } else if (verb == "cancel_now") {
+      world().cancel_now(static_cast<int>(l.get("count", 1)), l.get("hang", 0));
+    } else if (verb == "cancel_at_end") {
+      world().cancel_at_end(l.get("chance", 0.5), for_s);
+    } else if (verb == "odd_requests") {
+      world().odd_requests(for_s);
     } else if (verb == "expect") {
       Line rest = l;
       expect(rest);
@@ -281,7 +295,7 @@
       const int node = static_cast<int>(rng() % static_cast<uint64_t>(options_.nodes));
       const bool hold = unit(rng) < 0.6;
       const double p = unit(rng);
-      const auto kind = rng() % 17;
+      const auto kind = rng() % 25;
       static const char* sides[] = {"state", "workers", "peers", "all"};
       const std::string side = sides[rng() % 4];
       world().at(t, [this, kind, node, for_s, hold, side, p] {
@@ -319,6 +333,29 @@
             return w.late_copies(0.2 + 0.5 * p, 4 * for_s, for_s);
           case 16:
             return w.freeze(node, 1.5 * for_s);
+          case 17:
+            return w.late_writes(0.2 + 0.4 * p, 2 + 6 * p, for_s);
+          case 18:
+            return w.slow_state(0.2 + 0.8 * p, for_s);
+          case 19:
+            return w.machine_mute(1 + static_cast<int>(p * 4), 2 * for_s);
+          case 20:
+            return w.cancel_now(1 + static_cast<int>(p * 4), p < 0.5 ? 0 : for_s);
+          case 21:
+            return w.cancel_at_end(0.5, for_s);
+          case 22:
+            return w.odd_requests(for_s);
+          case 23:  // the gap: refused, cancellations through the others, then nobody is served
+            w.refuse(node, 2 + for_s);
+            w.cut(node, "peers", 0.2 + p, hold);
+            w.cancel_now(2, 0);
+            w.at(w.now() + 0.3 + p / 2, [&w, for_s] { w.state_outage(2 * for_s); });
+            return;
+          case 24:  // from the state and the others, not from workers and users
+            w.cut(node, "state", 2 * for_s, hold);
+            w.cut(node, "peers", 2 * for_s, hold);
+            w.cancel_now(2, 0);
+            return;
         }
       });
     }
@@ -369,6 +406,8 @@
       at_most(l, w.state().writes);
     } else if (what == "requests_at_most") {
       at_most(l, w.state().requests);
+    } else if (what == "starts_after_cancel_at_most") {
+      at_most(l, static_cast<uint64_t>(w.starts_after_cancel()));
     } else if (what == "sessions_at_most") {
       at_most(l, w.most_sessions());
     } else if (what == "peer_bytes_at_most") {
--- a/tests/standins/worker.cc
+++ b/tests/standins/worker.cc
@@ -25,6 +25,13 @@
   return f;
 }
 
+double Worker::free_memory() const {
+  double f = spec_.memory_gb;
+  for (const auto& t : tasks_)
+    if (t.phase != Task::kExited) f -= hooks_.job(t.key.job)->memory_gb;
+  return f;
+}
+
 void Worker::exit(Task& t, const std::string& cause) {
   const bool was_on = t.phase == Task::kRunning || t.phase == Task::kSaving;
   t.phase = Task::kExited;
@@ -51,7 +58,7 @@
 
 void Worker::advance(double now) {
   if (dead) return;
-  if (leased_from_ == 0) leased_from_ = now;
+  if (leased_from_ == 0) leased_from_ = leased_at_first_ = now;
   now_ = now;
   if (now - leased_from_ > lease_s_) end_session(now);
   if (hanging) return;
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -58,6 +58,8 @@
   double next_report = 0, next_allowed = 0;
   uint64_t session = 1, token = 0;
   double free_cpus() const;
+  double free_memory() const;
+  double booted_at() const { return leased_at_first_; }
 
  private:
   struct Task {
@@ -79,7 +81,7 @@
   std::vector<Task> tasks_;
   std::set<std::string> images_;
   uint64_t seq_ = 0;
-  double leased_from_ = 0, last_token_change_ = -1e9;
+  double leased_from_ = 0, leased_at_first_ = 0, last_token_change_ = -1e9;
   bool changed_ = true;
   double now_ = 0;
 };
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -85,6 +85,7 @@
     state_.tick(now_);
     cloud_.tick(now_);
     step_machines();
+    check_waiting();
     next_step += 0.02;
   }
 }
@@ -164,6 +165,10 @@
   return false;
 }
 
+bool World::on_island(int node, const Machine& m) const {
+  return island_.until > now_ && island_.node == node && island_.zone == m.worker->zone;
+}
+
 void World::call(int node, const core::Call& c) {
   Node& n = nodes_[static_cast<size_t>(node)];
   const uint64_t generation = n.generation;
@@ -189,17 +194,24 @@
     if (it == machines_.end() || it->second.worker->dead) return;  // silent
     machine = &it->second;
     if (machine->deaf_until > now_) return;
-    if (machine->cut_until > now_) {
+    if (machine->cut_until > now_ && !on_island(node, *machine)) {
       if (!machine->hold) return;
       when = machine->cut_until + latency();
     }
   }
-  if (cut_off(node, side, until, hold)) {
+  if ((machine == nullptr || !on_island(node, *machine)) && cut_off(node, side, until, hold)) {
     if (!hold) return;
     when = std::max(when, until + latency());
   }
   std::uniform_real_distribution<double> chance(0, 1);
-  const bool lost = chance(rng_) < lose_chance_;
+  bool lost = chance(rng_) < lose_chance_;
+  if (c.target == core::Target::kState) {
+    if (slow_s_ > 0) when += slow_s_ * chance(rng_);
+    if (late_write_chance_ > 0 && c.path == "/txn" && chance(rng_) < late_write_chance_) {
+      lost = true;
+      when += 1 + (late_write_s_ - 1) * chance(rng_);
+    }
+  }
   if (c.target != core::Target::kCloud && chance(rng_) < late_chance_)
     when += late_s_ * chance(rng_);
   const std::string name = machine != nullptr ? machine->worker->name : "";
@@ -288,6 +300,7 @@
       ++starts_[key.job];
       UserJob& job = jobs_[key.job];
       if (job.started_at < 0) job.started_at = now_;
+      if (job.told_cancelled >= 0) ++starts_after_cancel_;
       check_places(w, key);
     };
     hooks.ended = [this](const Worker& w, const TaskKey& key) { on_[key].erase(w.name); };
@@ -297,7 +310,11 @@
       UserJob& j = jobs_[key.job];
       bool all = true;
       for (int i = 0; i < j.truth.tasks; ++i) all = all && completed_.count({key.job, i}) != 0;
-      if (all && j.done_at < 0) j.done_at = now_;
+      if (!all || j.done_at >= 0) return;
+      j.done_at = now_;
+      std::uniform_real_distribution<double> unit(0, 1);
+      if (end_chance_ > 0 && !j.cancel_asked && unit(rng_) < end_chance_)
+        at(now_, [this, id = key.job] { cancel(id); });
     };
     hooks.saved = [this](const TaskKey& key) { return saved_.count(key) != 0 ? saved_[key] : 0.0; };
     hooks.save = [this](const TaskKey& key, double p) { saved_[key] = std::max(saved_[key], p); };
@@ -370,11 +387,13 @@
     at(now_ + copy_s_ * chance(rng_), [this, body, to = static_cast<int>(rng_() % nodes_.size())] {
       ask(to, "POST", "/agent/beat", body, 4, [](int, std::string, double) {});
     });
+  if (m.mute_until > now_) return at(now_ + 0.001, [heard] { heard(0, ""); });
   double until = 0;
   bool hold = false;
   double held_until = 0;
-  if (m.cut_until > now_) held_until = m.hold ? m.cut_until : -1;
-  if (cut_off(node, "workers", until, hold))
+  const bool island = on_island(node, m);
+  if (m.cut_until > now_ && !island) held_until = m.hold ? m.cut_until : -1;
+  if (!island && cut_off(node, "workers", until, hold))
     held_until = hold && held_until >= 0 ? std::max(held_until, until) : -1;
   if (held_until != 0) {
     at(now_ + 4, [heard] { heard(0, ""); });
@@ -386,10 +405,11 @@
     return;
   }
   ask(node, "POST", "/agent/beat", body, 4,
-      [this, heard, name](int status, std::string text, double) {
+      [this, heard, name, node](int status, std::string text, double) {
         auto it = machines_.find(name);
         if (it == machines_.end()) return;
-        if (it->second.cut_until > now_ || it->second.deaf_until > now_)
+        if ((it->second.cut_until > now_ && !on_island(node, it->second)) ||
+            it->second.deaf_until > now_)
           status = 0;  // the answer is lost to the cut
         heard(status, text);
       });
@@ -431,6 +451,7 @@
           return;
         }
         if (status == 200 || status == 201) {
+          if (!can_run(x)) violate("accepted though it cannot run or lacks a field: " + id);
           x.accepted = true;
           if (over || x.told.empty()) hear(x, status, body, false);
           return at(now_ + 1, [this, id] { poll(id); });
@@ -543,6 +564,12 @@
   }
 }
 
+void World::zone_cut(const std::string& zone, int node, double for_s, bool hold) {
+  island_ = {zone, node, now_ + for_s};
+  cut(node, "all", for_s, hold);
+  machine_cut(static_cast<int>(machines_.size()), for_s, hold, zone);
+}
+
 void World::machine_deaf(int count, double for_s) {
   trouble(for_s);
   for (auto& [name, m] : machines_) {
@@ -604,6 +631,183 @@
   at(now_ + for_s, [this] { late_chance_ = 0; });
 }
 
+void World::late_writes(double chance, double late_s, double for_s) {
+  trouble(for_s + late_s);
+  late_write_chance_ = chance;
+  late_write_s_ = std::max(1.0, late_s);
+  at(now_ + for_s, [this] { late_write_chance_ = 0; });
+}
+
+void World::slow_state(double by_s, double for_s) {
+  trouble(for_s);
+  slow_s_ = by_s;
+  at(now_ + for_s, [this] { slow_s_ = 0; });
+}
+
+void World::machine_mute(int count, double for_s, const std::string& zone) {
+  trouble(for_s);
+  for (auto& [name, m] : machines_) {
+    if (count <= 0) break;
+    if (m.worker->dead || m.mute_until > now_ || (!zone.empty() && m.worker->zone != zone))
+      continue;
+    m.mute_until = now_ + for_s;
+    --count;
+  }
+}
+
+void World::cancel_now(int count, double hang_s) {
+  constexpr size_t kHung = 8;
+  constexpr double kWithin = 0.2;
+  std::vector<std::string> ids;
+  for (const auto& [id, j] : jobs_)
+    if (j.accepted && j.told.empty() && !j.cancel_asked && running(id) > 0) ids.push_back(id);
+  std::shuffle(ids.begin(), ids.end(), rng_);
+  if (ids.size() > static_cast<size_t>(count)) ids.resize(static_cast<size_t>(count));
+  std::uniform_real_distribution<double> within(0, kWithin);
+  std::set<std::string> hung;
+  for (const auto& id : ids) {
+    at(now_ + within(rng_), [this, id] { cancel(id); });
+    for (const auto& [key, where] : on_)
+      if (key.job == id && hang_s > 0 && hung.size() < kHung)
+        for (const auto& [machine, attempt] : where) hung.insert(machine);
+  }
+  if (hang_s > 0) trouble(hang_s);
+  for (const auto& name : hung) {
+    machines_[name].worker->hanging = true;
+    at(now_ + hang_s, [this, name] { machines_[name].worker->hanging = false; });
+  }
+}
+
+void World::cancel_at_end(double chance, double for_s) {
+  end_chance_ = chance;
+  at(now_ + for_s, [this] { end_chance_ = 0; });
+}
+
+void World::odd_requests(double for_s) {
+  const bool going = odd_until_ > now_;
+  odd_until_ = std::max(odd_until_, now_ + for_s);
+  if (!going) odd_request();
+}
+
+// Repeats of unfinished jobs, also changed ones; cancellations of jobs that are done; questions
+// about jobs that nobody submitted; jobs that fit no machine, are of no team or lack a field.
+void World::odd_request() {
+  if (now_ >= odd_until_) return;
+  at(now_ + 0.3, [this] { odd_request(); });
+  const int node = pick_node();
+  if (node < 0 || jobs_.empty()) return;
+  auto some = jobs_.begin();
+  std::advance(some, static_cast<long>(rng_() % jobs_.size()));
+  const std::string id = some->first;
+  UserJob& j = some->second;
+  const auto kind = rng_() % 4;
+  if (kind == 0 && j.accepted) {
+    json body = j.body;
+    if (rng_() % 2 == 0) body["cores"] = 1e6;  // a repeat that differs is a repeat all the same
+    const bool over = !j.told.empty();
+    ask(node, "POST", "/api/jobs", body.dump(), 5,
+        [this, id, over](int status, std::string text, double) {
+          UserJob& x = jobs_[id];
+          if (status == 201 || status == 400 || status == 422)
+            return violate("forgotten: a repeat of " + id + " answered " + std::to_string(status));
+          if (over || x.told.empty()) hear(x, status, text, false);
+        });
+  } else if (kind == 1 && j.told == "done") {
+    ask(node, "POST", "/api/jobs/" + id + "/cancel", "", 5,
+        [this, id](int status, std::string text, double) {
+          if (status == 404) violate("forgotten: " + id);
+          if (status == 200) hear(jobs_[id], status, text, false);
+        });
+  } else if (kind == 2) {
+    const std::string unknown = "wk-9" + std::to_string(10000 + odd_++);
+    const bool cancels = rng_() % 2 == 0;
+    ask(node, cancels ? "POST" : "GET", "/api/jobs/" + unknown + (cancels ? "/cancel" : ""), "", 5,
+        [this, unknown](int status, std::string, double) {
+          if (status == 200) violate("invented: " + unknown);
+        });
+  } else if (kind == 3) {
+    json body = j.body;
+    body["id"] = "wk-8" + std::to_string(10000 + odd_++);
+    int wanted = 422;
+    switch (rng_() % 4) {
+      case 0:
+        body["cores"] = 1e6;
+        break;
+      case 1:
+        body["owner"] = "nobody";
+        break;
+      case 2:
+        body.erase("rank");
+        wanted = 400;
+        break;
+      default:
+        body["pieces"] = -1;
+        wanted = 400;
+    }
+    ask(node, "POST", "/api/jobs", body.dump(), 5,
+        [this, wanted, text = body.dump()](int status, std::string, double retry) {
+          if (status != wanted && status != 0 && (status != 503 || retry <= 0))
+            violate("answered " + std::to_string(status) + " to " + text);
+        });
+  }
+}
+
+bool World::can_run(const UserJob& j) const {
+  for (const char* field : {"id", "flock", "owner", "shape", "rank", "pieces", "cores", "memory_gb",
+                            "bundle", "size_gb", "together", "spread", "loaners", "guess_s"})
+    if (!j.body.contains(field)) return false;
+  auto team = teams_.find(j.team);
+  if (team == teams_.end()) return false;
+  const double max = team->second.second;
+  if (max > 0 && j.truth.cpus * (j.truth.service ? j.truth.tasks : 1) > max) return false;
+  return std::any_of(cloud_.types.begin(), cloud_.types.end(), [&](const TypeSpec& t) {
+    return j.truth.cpus <= t.cpus && j.truth.memory_gb <= t.memory_gb &&
+           (j.types.empty() ||
+            std::find(j.types.begin(), j.types.end(), t.name) != j.types.end()) &&
+           (j.zone.empty() || std::find(t.zones.begin(), t.zones.end(), j.zone) != t.zones.end());
+  });
+}
+
+// Once the troubles are over, no job waits while a machine that fits has room for one of its tasks
+// and its team is under its limit. Users count 90 s at reports of some seconds; here they are one.
+void World::check_waiting() {
+  constexpr double kPatience = 30;
+  if (now_ < next_waiting_check_) return;
+  next_waiting_check_ = now_ + 1;
+  if (now_ < trouble_until_) return waits_since_.clear();
+  std::map<std::string, double> used;
+  std::map<std::string, std::map<std::string, int>> zones;
+  std::map<std::string, int> on;
+  for (const auto& [key, where] : on_) {
+    if (where.empty()) continue;
+    used[jobs_[key.job].team] += jobs_[key.job].truth.cpus;
+    ++on[key.job];
+    for (const auto& [machine, attempt] : where) ++zones[key.job][cloud_.machines[machine].zone];
+  }
+  std::map<std::string, double> since;
+  for (const auto& [id, j] : jobs_) {
+    if (!j.accepted || !j.told.empty() || j.cancel_asked || j.together || j.truth.fails) continue;
+    int left = j.truth.tasks - on[id];
+    for (int i = 0; i < j.truth.tasks; ++i) left -= completed_.count({id, i}) != 0 ? 1 : 0;
+    const double max = teams_[j.team].second;
+    if (left <= 0 || (max > 0 && used[j.team] + j.truth.cpus > max)) continue;
+    const bool room = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+      const Worker& w = *entry.second.worker;
+      return !w.dead && !w.faulty && !w.taken_at && now_ - w.booted_at() > kPatience &&
+             (!w.spot || j.spot) && (j.zone.empty() || j.zone == w.zone) &&
+             (j.types.empty() ||
+              std::find(j.types.begin(), j.types.end(), w.type) != j.types.end()) &&
+             (!j.spread || zones[id][w.zone] < (j.truth.tasks + 1) / 2) &&
+             w.free_cpus() >= j.truth.cpus && w.free_memory() >= j.truth.memory_gb;
+    });
+    if (!room) continue;
+    auto known = waits_since_.find(id);
+    const double from = since[id] = known != waits_since_.end() ? known->second : now_;
+    if (now_ - from > kPatience) violate("waits though there is room: " + id);
+  }
+  waits_since_ = std::move(since);
+}
+
 // ---- a day's end ---------------------------------------------------------------------------
 
 // Less than half served is a failed day. Jobs that came just before the end do not count.
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -67,6 +67,8 @@
   void state_outage(double for_s);
   void cloud_outage(double for_s);
   void machine_cut(int count, double for_s, bool hold, const std::string& zone = "");
+  // A zone with its machines and a controller, apart from everything but one another.
+  void zone_cut(const std::string& zone, int node, double for_s, bool hold);
   void machine_deaf(int count, double for_s);  // reports arrive, answers and commands do not
   void late_copies(double chance, double late_s, double for_s);
   void machine_hang(int count, double for_s);
@@ -74,11 +76,21 @@
   void take_spot(double share, double notice_s);
   void lose_answers(double chance, double for_s);
   void late_requests(double chance, double late_s, double for_s);
+  // Transactions get no answer and are carried out later, after newer ones.
+  void late_writes(double chance, double late_s, double for_s);
+  void slow_state(double by_s, double for_s);  // each request takes up to so long
+  // Machines that can open no connection to a controller, while commands reach them.
+  void machine_mute(int count, double for_s, const std::string& zone = "");
+  // Users call off so many running jobs at once; some of their machines hang so long.
+  void cancel_now(int count, double hang_s);
+  void cancel_at_end(double chance, double for_s);  // at the moment that a job's last task ends
+  void odd_requests(double for_s);
 
   int leader() const;
   double now() const { return now_; }
   UserJob* job(const std::string& id);
   int running(const std::string& id) const;
+  int starts_after_cancel() const { return starts_after_cancel_; }
   int machines() const;
   uint64_t most_sessions() const;  // of a machine: each but the first began with a lease that ended
   int starts_of(const std::string& id) const;
@@ -108,9 +120,14 @@
     std::map<uint64_t, std::function<void(const rooksill::core::Reply&)>> pending;
     uint64_t next_request = 1;
   };
+  struct Island {
+    std::string zone;
+    int node = -1;
+    double until = 0;
+  };
   struct Machine {
     std::unique_ptr<Worker> worker;
-    double cut_until = 0, deaf_until = 0;
+    double cut_until = 0, deaf_until = 0, mute_until = 0;
     bool hold = false;
   };
 
@@ -123,6 +140,7 @@
   void ask(int node, const std::string& method, const std::string& target, const std::string& body,
            double timeout_s, std::function<void(int status, std::string body, double retry)> f);
   bool cut_off(int node, const std::string& side, double& until, bool& hold) const;
+  bool on_island(int node, const Machine& m) const;
   double latency();
   void step_machines();
   void send_report(Machine& m);
@@ -134,6 +152,9 @@
   void check_served(const std::string& what, const std::vector<const UserJob*>& jobs);
   void trouble(double for_s) { trouble_until_ = std::max(trouble_until_, now_ + for_s); }
   void check_places(const Worker& w, const TaskKey& key);
+  bool can_run(const UserJob& j) const;  // whole, of a team, within its limit, and fits a machine
+  void check_waiting();
+  void odd_request();
 
   WorldOptions options_;
   std::mt19937_64 rng_;
@@ -152,10 +173,15 @@
   std::map<std::string, int> starts_;
   std::map<std::string, std::pair<double, double>> teams_;
   std::vector<std::string> violations_;
+  Island island_;
   uint64_t peer_bytes_ = 0;  // between controllers
   double copy_chance_ = 0, copy_s_ = 0;
   double trouble_until_ = 0;  // the last of the troubles so far ends then
   double lose_chance_ = 0, late_chance_ = 0, late_s_ = 0;
+  double late_write_chance_ = 0, late_write_s_ = 0, slow_s_ = 0, end_chance_ = 0, odd_until_ = 0;
+  double next_waiting_check_ = 0;
+  std::map<std::string, double> waits_since_;  // with room for it, after the troubles
+  int starts_after_cancel_ = 0, odd_ = 0;
 };
 
 }  // namespace standins
