A job's zones count only with lists as new as its chunks; no more is decided than can be written soon

Each holder wrote some 7 decisions a second, all its writes, with 40 to 200 more waiting, whose places were kept from everybody meanwhile: 350 to 600 of 700 tasks' room was in use.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -14,10 +14,11 @@
 
 namespace {
 constexpr int kMaxInFlight = 2;
-constexpr double kBackoff = 0.15;      // after the state refused
-constexpr double kEntitled = 0.95;     // part of the time by which a cancellation outlasts a lease
-constexpr double kDealtReports = 2;    // that a chunk waits with one block while nobody routes
-constexpr double kMuteLease = 0.6;     // of a lease without a report, though the machine answers
+constexpr double kBackoff = 0.15;    // after the state refused
+constexpr double kEntitled = 0.95;   // part of the time by which a cancellation outlasts a lease
+constexpr double kDealtReports = 2;  // that a chunk waits with one block while nobody routes
+constexpr double kMuteReplicaLeases = 2.2;  // the same, with replicas
+constexpr double kMuteLeases = 0.6;    // of a lease without a report, though the machine answers
 constexpr int kZoneSample = 10;        // machines of a zone that are asked whether it is cut off
 constexpr double kZonePatience = 0.2;  // reports that their answers are waited for
 constexpr int kTested = 3;             // machines that a node which suspects itself asks at a time
@@ -34,7 +35,8 @@
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
 // Parts of the process's sockets for commands and for probes under way.
 constexpr double kCommandSockets = 0.15, kProbeSockets = 0.15;
-constexpr int kGathered = 5;  // rank of results that complete nothing
+constexpr double kDecidedAhead = 0.5;  // s of writes that decisions may wait for
+constexpr int kGathered = 5;           // rank of results that complete nothing
 }  // namespace
 
 bool Worker::has_image(int image) const {
@@ -149,8 +151,11 @@
   // A machine that answers and brings no reports cannot reach the controllers: its lease runs out
   // again and again, and with it all its work. Where it is most of them, it is this node.
   auto is_mute = [&](const Worker& w) {
-    return w.reported && ctx_.now.steady - std::max(w.last_report, ctx_.woke) >
-                             kMuteLease * ctx_.settings.platform.lease_s;
+    // Replicas start over in place within moments of each lease's end, so those may stay for
+    // longer.
+    const double leases = replica_.load(w.name).replica_cpus > 0 ? kMuteReplicaLeases : kMuteLeases;
+    return w.reported && ctx_.now.steady - std::max({w.last_report, w.heard_since, ctx_.woke}) >
+                             leases * ctx_.settings.platform.lease_s;
   };
   for (const auto& [name, w] : workers_) mute += is_mute(w) ? 1 : 0;
   const bool few_mute = mute * 2 <= workers_.size();
@@ -283,7 +288,9 @@
 void Holder::probe(Worker& w) {
   const double report = ctx_.settings.platform.report_s;
   const double age = quiet_for(w);
-  if (age < kProbeReports * report) {
+  // A machine whose lease must have ended is asked at once: its tasks are to start again.
+  const bool over = w.reported && ctx_.now.steady > w.lease_ends && w.last_heard < w.lease_ends;
+  if (age < kProbeReports * report && !over) {
     w.probe_failed = false;
     w.failed_probes = 0;
     return;
@@ -365,6 +372,7 @@
   if (!w.reported || std::pair(r->session, r->seq) > std::pair(w.session, w.seq))
     w.last_report = ctx_.now.steady;
   take_report(w, *r);
+  w.lease_ends = ctx_.now.steady + ctx_.settings.platform.lease_s;
   std::vector<Order> orders;
   reconcile(w, &orders);
   // Starts go out as direct commands only: an answer that arrives late could start what has been
@@ -384,6 +392,11 @@
   w.session = r.session;
   w.seq = r.seq;
   w.reported_token = r.token;
+  // A machine that was out of reach needs a while to find its controller again.
+  const auto& s = ctx_.settings;
+  if (quiet_for(w) > s.operators.machine_silence_reports * s.platform.report_s)
+    w.heard_since = ctx_.now.steady;
+  if (!w.reported || r.session != w.session) w.lease_ends = ctx_.now.steady + s.platform.lease_s;
   w.last_heard = last_answer_ = ctx_.now.steady;
   w.probe_failed = false;
   w.failed_probes = 0;
@@ -592,6 +605,25 @@
   place_wanted_ = true;
 }
 
+int Holder::decision_rank(const JobSpec& s) {
+  return 1 + static_cast<int>(Priority::kProd) - static_cast<int>(s.priority);
+}
+
+// A place that is decided and waits for its write is kept from everybody. Where writes are few, no
+// more is decided than can be written soon: what has more right then finds the room, and each write
+// takes all that has come free by then. A chunk that waits for its write may take more at no cost.
+bool Holder::may_decide(const Candidate& c) const {
+  if (auto own = work_.find({c.job->spec.id, c.chunk}); own != work_.end() && own->second.queued)
+    return true;
+  const auto most = static_cast<size_t>(std::max(2.0, kDecidedAhead * client_.writes_per_s()));
+  size_t ahead = 0;
+  for (const auto& [rank, id] : queue_) {
+    if (rank.first > decision_rank(c.job->spec)) break;
+    if (++ahead >= most) return false;
+  }
+  return true;
+}
+
 void Holder::queue(const ChunkId& id, ChunkWork& work) {
   unqueue(id, work);
   const Job* job = replica_.job(id.first);
@@ -609,7 +641,7 @@
   if (leaving || done >= job->spec.tasks)
     rank = 0;
   else if (decided)
-    rank = 1 + static_cast<int>(Priority::kProd) - static_cast<int>(job->spec.priority);
+    rank = decision_rank(job->spec);
   work.queued = Rank{rank, work.since};
   queue_.insert({*work.queued, id});
 }
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -47,6 +47,8 @@
   uint64_t session = 0, seq = 0, reported_token = 0;
   bool reported = false;
   double last_heard = 0;   // in whatever way
+  double heard_since = 0;  // when it was heard again after a silence
+  double lease_ends = 0;   // at the latest, if no report of its own is answered
   double last_report = 0;  // that it brought itself: only an answer to one renews its lease
   double next_probe = 0, next_push = 0;
   bool probing = false, probe_failed = false;
@@ -162,6 +164,8 @@
   void note_unknown(const std::vector<ChunkId>& chunks);
   void queue(const ChunkId& id, ChunkWork& work);
   void unqueue(const ChunkId& id, ChunkWork& work);
+  static int decision_rank(const JobSpec& s);
+  bool may_decide(const Candidate& c) const;
   void drop_change(const ChunkId& id, uint32_t index, const Change& c);
   uint64_t basis(const Job& job, int block) const;
   bool apply_change(const Job& job, const Chunk& chunk, TaskState& state, const Change& c) const;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -376,7 +376,8 @@
   promised_.clear();
   evictions_ = 0;
   const auto workers = open_workers();
-  for (const auto& c : waiting) place_chunk(c, workers);
+  for (const auto& c : waiting)
+    if (may_decide(c)) place_chunk(c, workers);
 }
 
 void Holder::place_chunk(const Candidate& c, const std::vector<Worker*>& workers) {
@@ -428,6 +429,9 @@
           return it != changes.end() && it->second.kind == Change::Kind::kLost;
         };
         if (work != work_.end() && ended(work->second.waiting)) continue;
+        // A machine that is in no list here may have been dealt since the lists were known, and its
+        // zone is not known then: others' chunks come faster than the watch.
+        if (replica_.machine_gone(tasks[i].machine) && !replica_.lists_cover(job.chunks[k])) return;
         count(tasks[i].machine);
       }
       if (work == work_.end()) continue;
