Results of a holder's whole part go at once; arrays stop other work only as far as writes allow

Cause, from the load lines: 10 to 20 tasks a second were stopped at each holder to make room, each costing a write to say so and one to place it anew, out of 8 a second; and results were gathered for writes to spare that never came: a chunk's tasks lie with several holders, none of which sees the end. Change: arrays may stop half a task for each write a second, two seconds' worth at once; results go with first rank once nothing of the chunk runs on this holder's machines.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -605,6 +605,19 @@
   place_wanted_ = true;
 }
 
+// Whether this holder's machines still have tasks of the chunk whose results may be gathered with
+// those that wait. Other holders may have some too, and know as little of ours: a job whose tasks
+// have all ended must not wait for writes to spare at each of them.
+bool Holder::more_to_come(const Job& job, uint32_t chunk, const ChunkWork& work) const {
+  const auto& tasks = job.chunks[chunk].tasks;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].done || tasks[i].machine.empty() || change_in(work, i) != nullptr) continue;
+    const Machine* m = replica_.machine(tasks[i].machine);
+    if (m != nullptr && holds(m->block)) return true;
+  }
+  return false;
+}
+
 int Holder::decision_rank(const JobSpec& s) {
   return 1 + static_cast<int>(Priority::kProd) - static_cast<int>(s.priority);
 }
@@ -638,7 +651,7 @@
     leaving = leaving || (w != workers_.end() && w->second.notice_until);
   }
   int rank = kGathered;
-  if (leaving || done >= job->spec.tasks)
+  if (leaving || done >= job->spec.tasks || (!decided && !more_to_come(*job, id.second, work)))
     rank = 0;
   else if (decided)
     rank = decision_rank(job->spec);
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -164,6 +164,7 @@
   void note_unknown(const std::vector<ChunkId>& chunks);
   void queue(const ChunkId& id, ChunkWork& work);
   void unqueue(const ChunkId& id, ChunkWork& work);
+  bool more_to_come(const Job& job, uint32_t chunk, const ChunkWork& work) const;
   static int decision_rank(const JobSpec& s);
   bool may_decide(const Candidate& c) const;
   void drop_change(const ChunkId& id, uint32_t index, const Change& c);
@@ -230,6 +231,7 @@
   std::unordered_map<const Worker*, Unmet> promised_;  // of what is being made free, in a pass
   double cheapest_ = 1;
   int evictions_ = 0;
+  double stops_left_ = 0, stops_at_ = 0;  // that arrays may make room with, and when that was
   int in_flight_ = 0;
   int sends_ = 0, probes_ = 0;  // commands and probes under way
   double backoff_until_ = 0, next_place_ = 0;
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -14,6 +14,9 @@
 constexpr double kOrdinaryReserve = 0.1;
 constexpr double kHopeless = 1e6;  // s by which a job that can meet no limit stands back
 constexpr int kMaxEvictions = 64;  // machines made room on in one pass
+// What arrays may stop to make room, in tasks for each write: it takes writes to stop and place
+// anew.
+constexpr double kStopsPerWrite = 0.5, kStopsSaved = 2;
 constexpr double kSlack = 1e-9;    // sums of fractions
 constexpr double kPause = 0.025;   // s between two passes; longer, the more waits
 constexpr double kSlowedBy = 200;  // waiting chunks that double it
@@ -216,6 +219,7 @@
   const JobSpec& s = job.spec;
   std::map<std::string, uint32_t> in_zone = zones;
   uint32_t made = 0;
+  const bool array = s.shape == Shape::kArray;
   auto usable = [&](const Worker& w) {
     if (!allowed(s, w) || (!only_zone.empty() && w.room.zone != only_zone)) return false;
     if (s.spread && in_zone[w.room.zone] >= (s.tasks + 1) / 2) return false;
@@ -257,7 +261,7 @@
     return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
   });
   for (const auto& [cost, w] : options) {
-    if (made >= count || evictions_ >= kMaxEvictions) break;
+    if (made >= count || evictions_ >= kMaxEvictions || (array && stops_left_ < 1)) break;
     if (!usable(*w)) continue;
     Unmet& taken = promised_[w];
     std::vector<std::pair<Priority, TaskRef>> lowers;
@@ -287,6 +291,7 @@
         ctx_.debug("placer", "task {} on {} is stopped to make room for {}", task_name(ref),
                    w->name, s.id);
         ctx_.count("tasks_stopped");
+        if (array) stops_left_ -= 1;
         evicted_[ref] = replica_.task(ref)->attempt;
         stopped = true;
       }
@@ -375,6 +380,10 @@
   unmet_.clear();
   promised_.clear();
   evictions_ = 0;
+  const double stops = kStopsPerWrite * client_.writes_per_s();
+  stops_left_ = std::min(kStopsSaved * stops,
+                         stops_left_ + stops * std::max(0.0, ctx_.now.steady - stops_at_));
+  stops_at_ = ctx_.now.steady;
   const auto workers = open_workers();
   for (const auto& c : waiting)
     if (may_decide(c)) place_chunk(c, workers);
