Nothing is kept free on ordinary machines for starts that nobody calls urgent; stops by urgency

Cause of most of the mill's trouble: a tenth of each ordinary machine was kept free for work that may not use cheap ones. On machines of 4 CPUs that left room for one task of two, none for grain-weigh, and making room did not count it: tasks were stopped there again and again for room that was then not given. Change: kept only where some class has a limit on its wait, and not from tasks that need nearly all of a machine; making room leaves it out too.

--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -17,9 +17,10 @@
 // What arrays may stop to make room, in tasks for each write: it takes writes to stop and place
 // anew.
 constexpr double kStopsPerWrite = 0.5, kStopsSaved = 2;
-constexpr double kSlack = 1e-9;    // sums of fractions
-constexpr double kPause = 0.025;   // s between two passes; longer, the more waits
-constexpr double kSlowedBy = 200;  // waiting chunks that double it
+constexpr double kOrdinaryStop = 5;  // what one counts that is not for urgent work
+constexpr double kSlack = 1e-9;      // sums of fractions
+constexpr double kPause = 0.025;     // s between two passes; longer, the more waits
+constexpr double kSlowedBy = 200;    // waiting chunks that double it
 }  // namespace
 
 // ---- room ----------------------------------------------------------------------------------
@@ -142,8 +143,12 @@
   double soonest = std::numeric_limits<double>::infinity();
   for (const auto& o : ctx_.settings.platform.objectives)
     if (o.kind == "wait") soonest = std::min(soonest, o.within_s);
+  // Nobody's start is that urgent, or the task needs nearly all of the machine: with room kept free
+  // it would never run there.
+  const double kept = kOrdinaryReserve * r.type->cpus;
+  if (std::isinf(soonest) || s.cpus > r.type->cpus - kept) return 0;
   if (s.priority < Priority::kUrgent && s.checkpoint_s > 0 && s.save_s < 0.75 * soonest) return 0;
-  return kOrdinaryReserve * r.type->cpus;
+  return kept;
 }
 
 double Holder::team_grant(const std::string& team, int block, bool gpus) {
@@ -220,6 +225,7 @@
   std::map<std::string, uint32_t> in_zone = zones;
   uint32_t made = 0;
   const bool array = s.shape == Shape::kArray;
+  const double stop = s.priority >= Priority::kUrgent ? 1 : kOrdinaryStop;
   auto usable = [&](const Worker& w) {
     if (!allowed(s, w) || (!only_zone.empty() && w.room.zone != only_zone)) return false;
     if (s.spread && in_zone[w.room.zone] >= (s.tasks + 1) / 2) return false;
@@ -238,8 +244,8 @@
     if (r.leaving_cpus <= 0 && r.leaving_memory <= 0) continue;
     Unmet& taken = promised_[w];
     while (made < count && usable(*w) &&
-           fits(s, r.cpus + r.leaving_cpus - taken.cpus, r.gpus + r.leaving_gpus - taken.gpus,
-                r.memory + r.leaving_memory - taken.memory)) {
+           fits(s, r.cpus + r.leaving_cpus - reserve(s, r) - taken.cpus,
+                r.gpus + r.leaving_gpus - taken.gpus, r.memory + r.leaving_memory - taken.memory)) {
       taken.cpus += s.cpus;
       taken.gpus += s.gpus;
       taken.memory += s.memory_gb;
@@ -251,7 +257,8 @@
   for (Worker* w : workers) {
     const Room& r = w->room;
     if (lower(r) <= 0 || !usable(*w)) continue;
-    if (r.cpus + r.leaving_cpus + lower(r) + kSlack < s.cpus) continue;
+    // Without the room that is kept free there, or it would be made again and again for nobody.
+    if (r.cpus + r.leaving_cpus + lower(r) - reserve(s, r) + kSlack < s.cpus) continue;
     // Where little has to go, and of the lowest priority.
     const double lowest = r.cpus_by_priority[0];
     const double missing = std::max(0.0, s.cpus - r.cpus - r.leaving_cpus);
@@ -261,7 +268,7 @@
     return a.first != b.first ? a.first < b.first : a.second->name < b.second->name;
   });
   for (const auto& [cost, w] : options) {
-    if (made >= count || evictions_ >= kMaxEvictions || (array && stops_left_ < 1)) break;
+    if (made >= count || evictions_ >= kMaxEvictions || (array && stops_left_ < stop)) break;
     if (!usable(*w)) continue;
     Unmet& taken = promised_[w];
     std::vector<std::pair<Priority, TaskRef>> lowers;
@@ -275,7 +282,7 @@
     bool stopped = false;
     while (made < count && usable(*w)) {
       const Room& r = w->room;
-      double cpus = r.cpus + r.leaving_cpus - taken.cpus,
+      double cpus = r.cpus + r.leaving_cpus - reserve(s, r) - taken.cpus,
              gpus = r.gpus + r.leaving_gpus - taken.gpus,
              memory = r.memory + r.leaving_memory - taken.memory;
       auto until = victim;
@@ -291,7 +298,7 @@
         ctx_.debug("placer", "task {} on {} is stopped to make room for {}", task_name(ref),
                    w->name, s.id);
         ctx_.count("tasks_stopped");
-        if (array) stops_left_ -= 1;
+        if (array) stops_left_ -= stop;
         evicted_[ref] = replica_.task(ref)->attempt;
         stopped = true;
       }
