--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -626,6 +626,7 @@
 // more is decided than can be written soon: what has more right then finds the room, and each write
 // takes all that has come free by then. A chunk that waits for its write may take more at no cost.
 bool Holder::may_decide(const Candidate& c) const {
+  if (c.job->spec.shape == Shape::kService) return true;  // few, and at once
   if (auto own = work_.find({c.job->spec.id, c.chunk}); own != work_.end() && own->second.queued)
     return true;
   const auto most = static_cast<size_t>(std::max(2.0, kDecidedAhead * client_.writes_per_s()));
@@ -651,9 +652,9 @@
     leaving = leaving || (w != workers_.end() && w->second.notice_until);
   }
   int rank = kGathered;
-  if (leaving || done >= job->spec.tasks || (!decided && !more_to_come(*job, id.second, work)))
+  if (leaving || done >= job->spec.tasks)
     rank = 0;
-  else if (decided)
+  else if (decided || !more_to_come(*job, id.second, work))
     rank = decision_rank(job->spec);
   work.queued = Rank{rank, work.since};
   queue_.insert({*work.queued, id});
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -266,6 +266,8 @@
       world().zone_cut(l.text("zone", "a"), node_of(l.word(1)), for_s, hold);
     } else if (verb == "late_writes") {
       world().late_writes(l.get("chance", 0.3), l.get("by", 6), for_s);
+    } else if (verb == "late_commands") {
+      world().late_commands(l.get("chance", 0.3), l.get("by", 6), for_s);
     } else if (verb == "state_slow") {
       world().slow_state(l.get("by", 0.8), for_s);
     } else if (verb == "machine_mute") {
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -214,6 +214,8 @@
   }
   if (c.target != core::Target::kCloud && chance(rng_) < late_chance_)
     when += late_s_ * chance(rng_);
+  if (late_command_chance_ > 0 && c.path == "/commands" && chance(rng_) < late_command_chance_)
+    when += late_command_s_ * chance(rng_);
   const std::string name = machine != nullptr ? machine->worker->name : "";
   at(when, [this, c, finish, lost, name, node] {
     auto back = [this, finish, lost](Answer a) {
@@ -638,6 +640,13 @@
   at(now_ + for_s, [this] { late_write_chance_ = 0; });
 }
 
+void World::late_commands(double chance, double late_s, double for_s) {
+  trouble(for_s + late_s);
+  late_command_chance_ = chance;
+  late_command_s_ = late_s;
+  at(now_ + for_s, [this] { late_command_chance_ = 0; });
+}
+
 void World::slow_state(double by_s, double for_s) {
   trouble(for_s);
   slow_s_ = by_s;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -78,6 +78,8 @@
   void late_requests(double chance, double late_s, double for_s);
   // Transactions get no answer and are carried out later, after newer ones.
   void late_writes(double chance, double late_s, double for_s);
+  // Commands to workers are held up, while their reports and the answers pass.
+  void late_commands(double chance, double late_s, double for_s);
   void slow_state(double by_s, double for_s);  // each request takes up to so long
   // Machines that can open no connection to a controller, while commands reach them.
   void machine_mute(int count, double for_s, const std::string& zone = "");
@@ -178,7 +180,8 @@
   double copy_chance_ = 0, copy_s_ = 0;
   double trouble_until_ = 0;  // the last of the troubles so far ends then
   double lose_chance_ = 0, late_chance_ = 0, late_s_ = 0;
-  double late_write_chance_ = 0, late_write_s_ = 0, slow_s_ = 0, end_chance_ = 0, odd_until_ = 0;
+  double late_command_chance_ = 0, late_command_s_ = 0, late_write_chance_ = 0, late_write_s_ = 0,
+         slow_s_ = 0, end_chance_ = 0, odd_until_ = 0;
   double next_waiting_check_ = 0;
   std::map<std::string, double> waits_since_;  // with room for it, after the troubles
   int starts_after_cancel_ = 0, odd_ = 0;
