--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -36,7 +36,7 @@
 // Parts of the process's sockets for commands and for probes under way.
 constexpr double kCommandSockets = 0.15, kProbeSockets = 0.15;
 constexpr double kDecidedAhead = 0.25;  // s of writes that decisions may wait for
-constexpr int kGathered = 5;           // rank of results that complete nothing
+constexpr int kGathered = 5;            // rank of results that complete nothing
 }  // namespace
 
 bool Worker::has_image(int image) const {
