--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -14,9 +14,8 @@
 
 namespace {
 constexpr int kMaxInFlight = 2;
-constexpr double kBackoff = 0.15;    // after the state refused
-constexpr double kEntitled = 0.95;   // part of the time by which a cancellation outlasts a lease
-constexpr double kDealtReports = 2;  // that a chunk waits with one block while nobody routes
+constexpr double kBackoff = 0.15;   // after the state refused
+constexpr double kEntitled = 0.95;  // part of the time by which a cancellation outlasts a lease
 constexpr double kMuteReplicaLeases = 2.2;  // the same, with replicas
 constexpr double kMuteLeases = 0.6;    // of a lease without a report, though the machine answers
 constexpr int kZoneSample = 10;        // machines of a zone that are asked whether it is cut off
@@ -1025,8 +1024,8 @@
     for (uint32_t c = 0; c < job.chunks.size(); ++c) {
       const Chunk& chunk = job.chunks[c];
       if (chunk.done + chunk.placed >= chunk.tasks.size()) continue;
-      if (holds(placement::dealt_block(ctx_.settings, replica_.types, job, c, blocks, ctx_.now.wall,
-                                       kDealtReports * report)))
+      if (holds(
+              placement::dealt_block(ctx_.settings, replica_.types, job, c, blocks, ctx_.now.wall)))
         routed_.insert({id, c});
       else
         routed_.erase({id, c});
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -451,8 +451,7 @@
         block = together;
       } else if (apart) {
         block = placement::dealt_block(ctx_.settings, replica_.types, job, c,
-                                       static_cast<int>(replica_.leases.size()), ctx_.now.wall,
-                                       2 * ctx_.settings.platform.report_s);
+                                       static_cast<int>(replica_.leases.size()), ctx_.now.wall);
       } else {
         block = choose_block(job, c);
       }
--- a/src/rooksill/placement/grants.cc
+++ b/src/rooksill/placement/grants.cc
@@ -5,6 +5,10 @@
 
 namespace rooksill::placement {
 
+namespace {
+constexpr double kDealtReports = 2;  // that a chunk waits with one block while nobody routes
+}  // namespace
+
 double granted(double limit, double whole_below, const std::string& team, int block, int blocks) {
   if (limit <= 0) return std::numeric_limits<double>::infinity();
   if (limit >= whole_below * blocks) return limit / blocks;
@@ -23,7 +27,8 @@
 }
 
 int dealt_block(const Settings& settings, const std::map<std::string, core::MachineType>& types,
-                const core::Job& job, uint32_t chunk, int blocks, double wall, double turn_s) {
+                const core::Job& job, uint32_t chunk, int blocks, double wall) {
+  const double turn_s = kDealtReports * settings.platform.report_s;
   // One block at a time decides for a job whose tasks depend on each other's places.
   const bool whole = job.spec.one_zone || job.spec.spread || job.spec.shape == core::Shape::kGang;
   uint64_t sum = whole ? 0 : chunk;
--- a/src/rooksill/placement/grants.h
+++ b/src/rooksill/placement/grants.h
@@ -16,8 +16,8 @@
                     const std::string& team, int block, int blocks);
 
 // The block that places a chunk of a job while no leader routes it: the same on every controller,
-// and after each `turn_s` of waiting the next one.
+// and after two reports of waiting the next one.
 int dealt_block(const Settings& settings, const std::map<std::string, core::MachineType>& types,
-                const core::Job& job, uint32_t chunk, int blocks, double wall, double turn_s);
+                const core::Job& job, uint32_t chunk, int blocks, double wall);
 
 }  // namespace rooksill::placement
