A placement without an answer keeps its room and its part of the limit until it is certain

Change: where the chunk is unchanged, the same changes are sent again, and count until one of the two went through; the other one's guard fails then. This also keeps a loss that may yet be written from meeting a start in place, so the list of such losses that was kept for that goes.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -177,10 +177,6 @@
     const TaskState* t = replica_.task(e.first);
     return t == nullptr || t->machine.empty() || t->attempt != e.second;
   });
-  for (auto it = maybe_lost_.begin(); it != maybe_lost_.end();) {
-    const TaskRef ref = (it++)->first;
-    may_be_lost_yet(ref);
-  }
   if (!routed_.empty()) place_wanted_ = true;
 }
 
@@ -489,7 +485,7 @@
     // state has it: its image is there, and nothing has to be written. After a cut that outlasts
     // the lease that is true of hundreds of machines at once. A machine that is to go is no place
     // for it.
-    if (job->over() || draining || w.bad || drain_.count(w.name) != 0 || may_be_lost_yet(ref)) {
+    if (job->over() || draining || w.bad || drain_.count(w.name) != 0) {
       if (sure) change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
     } else {
       order({Order::Op::kStart, ref, s->attempt, 0});
@@ -806,6 +802,7 @@
                  : c.kind == Change::Kind::kLost ? "tasks_lost"
                                                  : "tasks_done");
     work.sent = std::move(work.waiting);
+    work.sent_on = chunk.stamp;
     work.waiting.clear();
     work.busy = true;
     chunks.push_back(id);
@@ -848,31 +845,24 @@
   }
 }
 
-// Read back unchanged, a chunk may yet be changed by the transaction that got no answer, until some
-// other one has changed it. A task that it says is lost must not be started in place meanwhile,
-// which would change nothing: it is written lost anew, and goes on from there.
-void Holder::note_unknown(const std::vector<ChunkId>& chunks) {
+// After a transaction without an answer, read back. One whose chunk has changed can no longer be
+// carried out. Otherwise it may be, seconds from now, and nothing that it says may be taken back
+// till then: a place keeps its room and its part of the team's limit, and a task that it writes
+// lost is not started over in place. The same is sent again; whichever comes first, the other one
+// fails.
+void Holder::resolve(const std::vector<ChunkId>& chunks) {
   for (const auto& id : chunks) {
     const Job* job = replica_.job(id.first);
     auto work = work_.find(id);
-    if (job == nullptr || work == work_.end() || id.second >= job->chunks.size()) continue;
-    for (const auto& [i, c] : work->second.sent)
-      if (c.kind == Change::Kind::kLost || !c.from.empty())
-        maybe_lost_[{id.first, id.second * job->chunk_tasks + i}] = job->chunks[id.second].stamp;
+    const bool pending = job != nullptr && work != work_.end() && id.second < job->chunks.size() &&
+                         job->chunks[id.second].stamp == work->second.sent_on;
+    if (pending)
+      send_again({id});
+    else
+      drop_sent({id});
   }
 }
 
-bool Holder::may_be_lost_yet(const TaskRef& task) {
-  auto it = maybe_lost_.find(task);
-  if (it == maybe_lost_.end()) return false;
-  const Job* job = replica_.job(task.job);
-  const size_t chunk = job != nullptr ? task.index / job->chunk_tasks : 0;
-  if (job != nullptr && chunk < job->chunks.size() && job->chunks[chunk].stamp == it->second)
-    return true;
-  maybe_lost_.erase(it);
-  return false;
-}
-
 void Holder::settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
                     std::vector<std::string> keys) {
   switch (result.outcome) {
@@ -896,8 +886,7 @@
       });
       return;
     case Outcome::kUnknown:
-      note_unknown(chunks);
-      committer_.refresh(std::move(keys), [this, chunks] { drop_sent(chunks); });
+      committer_.refresh(std::move(keys), [this, chunks] { resolve(chunks); });
       return;
   }
 }
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -120,6 +120,7 @@
   using Rank = std::pair<int, double>;
   struct ChunkWork {
     std::map<uint32_t, Change> waiting, sent;
+    uint64_t sent_on = 0;  // revision of the chunk that `sent` goes with
     bool busy = false;
     std::optional<Rank> queued;
     double since = 0;
@@ -160,8 +161,7 @@
   static const Change* change_in(const ChunkWork& work, uint32_t index);
   bool changing(const TaskRef& task) const { return change_of(task) != nullptr; }
   bool under(int block, uint64_t lease) const;
-  bool may_be_lost_yet(const TaskRef& task);
-  void note_unknown(const std::vector<ChunkId>& chunks);
+  void resolve(const std::vector<ChunkId>& chunks);
   void queue(const ChunkId& id, ChunkWork& work);
   void unqueue(const ChunkId& id, ChunkWork& work);
   bool more_to_come(const Job& job, uint32_t chunk, const ChunkWork& work) const;
@@ -220,8 +220,6 @@
   std::set<std::string> drain_;
   std::map<std::string, ZoneCheck> zone_checks_;
   std::unordered_map<std::string, JobTrouble> troubles_;
-  // Lost by a transaction that may still be carried out, on the chunk's revision it was sent with.
-  std::map<TaskRef, uint64_t> maybe_lost_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
   std::map<std::tuple<int, std::string, bool>, double> grants_;
