--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -82,6 +82,7 @@
       room.cpus_by_priority[static_cast<size_t>(job.spec.priority)] += job.spec.cpus;
     }
   }
+  std::set<TaskRef> ended;
   for (const auto& t : w.tasks) {
     const Job* job = replica_.job(t.task.job);
     const TaskState* s = replica_.task(t.task);
@@ -89,13 +90,16 @@
     const bool here = s->machine == w.name && s->attempt == t.attempt;
     // What has ended uses nothing any more, though its result is not written yet. What should not
     // be there holds its room until it is gone.
-    if (t.phase == worker::Phase::kExited && here && placed.count(t.task) != 0)
+    if (t.phase == worker::Phase::kExited && here && placed.count(t.task) != 0) {
       use(*job, -1);
-    else if (t.phase != worker::Phase::kExited && !here)
+      ended.insert(t.task);
+    } else if (t.phase != worker::Phase::kExited && !here)
       use(*job, 1);
   }
+  // One that has ended here and is to start here again is in the state already, and counts anew.
   for (const auto& ref : w.placing)
-    if (const Job* job = replica_.job(ref.job); job != nullptr && placed.count(ref) == 0)
+    if (const Job* job = replica_.job(ref.job);
+        job != nullptr && (placed.count(ref) == 0 || ended.count(ref) != 0))
       use(*job, 1);
   for (const auto& [team, used] : room.teams) {
     auto& all = team_use_[{room.block, team}];
