Stand-ins: one loop picks the machines that a trouble strikes, one place lets a machine hang

The loop over machines stood five times, the last of them added with mute machines, and hanging twice.

--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -555,15 +555,27 @@
   at(now_ + for_s, [this] { cloud_.outage = false; });
 }
 
-void World::machine_cut(int count, double for_s, bool hold, const std::string& zone) {
-  trouble(for_s);
+// So many machines as there are whom it strikes: it says whether it did.
+void World::strike(int count, const std::function<bool(Machine&)>& one) {
   for (auto& [name, m] : machines_) {
     if (count <= 0) break;
-    if (m.worker->dead || m.cut_until > now_ || (!zone.empty() && m.worker->zone != zone)) continue;
+    if (!m.worker->dead && one(m)) --count;
+  }
+}
+
+void World::hang(Machine& m, double for_s) {
+  m.worker->hanging = true;
+  at(now_ + for_s, [this, name = m.worker->name] { machines_[name].worker->hanging = false; });
+}
+
+void World::machine_cut(int count, double for_s, bool hold, const std::string& zone) {
+  trouble(for_s);
+  strike(count, [&](Machine& m) {
+    if (m.cut_until > now_ || (!zone.empty() && m.worker->zone != zone)) return false;
     m.cut_until = now_ + for_s;
     m.hold = hold;
-    --count;
-  }
+    return true;
+  });
 }
 
 void World::zone_cut(const std::string& zone, int node, double for_s, bool hold) {
@@ -574,12 +586,11 @@
 
 void World::machine_deaf(int count, double for_s) {
   trouble(for_s);
-  for (auto& [name, m] : machines_) {
-    if (count <= 0) break;
-    if (m.worker->dead || m.deaf_until > now_) continue;
+  strike(count, [&](Machine& m) {
+    if (m.deaf_until > now_) return false;
     m.deaf_until = now_ + for_s;
-    --count;
-  }
+    return true;
+  });
 }
 
 void World::late_copies(double chance, double late_s, double for_s) {
@@ -591,22 +602,15 @@
 
 void World::machine_hang(int count, double for_s) {
   trouble(for_s);
-  for (auto& [name, m] : machines_) {
-    if (count <= 0) break;
-    if (m.worker->dead || m.worker->hanging) continue;
-    m.worker->hanging = true;
-    at(now_ + for_s, [this, n = name] { machines_[n].worker->hanging = false; });
-    --count;
-  }
+  strike(count, [&](Machine& m) {
+    if (m.worker->hanging) return false;
+    hang(m, for_s);
+    return true;
+  });
 }
 
 void World::machine_fault(int count) {
-  for (auto& [name, m] : machines_) {
-    if (count <= 0) break;
-    if (m.worker->dead || m.worker->faulty) continue;
-    m.worker->faulty = true;
-    --count;
-  }
+  strike(count, [](Machine& m) { return !std::exchange(m.worker->faulty, true); });
 }
 
 void World::take_spot(double share, double notice_s) {
@@ -655,13 +659,11 @@
 
 void World::machine_mute(int count, double for_s, const std::string& zone) {
   trouble(for_s);
-  for (auto& [name, m] : machines_) {
-    if (count <= 0) break;
-    if (m.worker->dead || m.mute_until > now_ || (!zone.empty() && m.worker->zone != zone))
-      continue;
+  strike(count, [&](Machine& m) {
+    if (m.mute_until > now_ || (!zone.empty() && m.worker->zone != zone)) return false;
     m.mute_until = now_ + for_s;
-    --count;
-  }
+    return true;
+  });
 }
 
 void World::cancel_now(int count, double hang_s) {
@@ -681,10 +683,7 @@
         for (const auto& [machine, attempt] : where) hung.insert(machine);
   }
   if (hang_s > 0) trouble(hang_s);
-  for (const auto& name : hung) {
-    machines_[name].worker->hanging = true;
-    at(now_ + hang_s, [this, name] { machines_[name].worker->hanging = false; });
-  }
+  for (const auto& name : hung) hang(machines_[name], hang_s);
 }
 
 void World::cancel_at_end(double chance, double for_s) {
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -157,6 +157,8 @@
   bool can_run(const UserJob& j) const;  // whole, of a team, within its limit, and fits a machine
   void check_waiting();
   void odd_request();
+  void strike(int count, const std::function<bool(Machine&)>& one);
+  void hang(Machine& m, double for_s);
 
   WorldOptions options_;
   std::mt19937_64 rng_;
