Shares of a team's limit move between blocks; work is routed by what is left of them

Cause: limit_split (known red): chunks were routed by room on machines alone, to blocks whose even share of the team's limit was used up, while another block had both; and shares never moved, so work waited though its team was under its limit. Changed: the leader routes by what holders say is left as well (LimitBalancer) and asks a holder whose block has a share it cannot use to pass it on; that holder writes both sides in one transaction, guarded on the division and its own lease (LimitTransfers), and counts the amount as gone until the outcome is certain. A task starts again in place only while its team's use is within the share.

--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -5,7 +5,7 @@
 #include <limits>
 
 #include "rooksill/core/codec.h"
-#include "rooksill/placement/grants.h"
+#include "rooksill/placement/limit_shares.h"
 #include "rooksill/policy/sizing.h"
 
 namespace rooksill::cloud {
@@ -851,15 +851,8 @@
             ++zones[m->zone];
             if (s.one_zone) only_zone = m->zone;
           }
-    // A limit too small to be split lies with one block: only room there is of use.
-    int home = -1, granting = 0;
-    for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b)
-      if (placement::granted_cpus(ctx_.settings, replica_.types, s.team, b,
-                                  static_cast<int>(replica_.leases.size())) >= s.cpus) {
-        home = b;
-        ++granting;
-      }
-    if (granting != 1) home = -1;
+    // A limit too small to be divided lies with one block: only room there is of use.
+    const int home = placement::only_home(ctx_.settings, replica_, s.team);
     auto in_block = [&](int block) { return home < 0 || block == home; };
     // How many more tasks a zone may take.
     auto zone_left = [&](const std::string& zone) -> uint32_t {
--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -1,6 +1,7 @@
 #include "rooksill/core/codec.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <tuple>
@@ -20,6 +21,15 @@
 std::string life_sign_key(const std::string& label) { return kPrefix + "n/" + label; }
 std::string type_key(const std::string& name) { return kPrefix + "c/" + name; }
 
+std::string limit_key(const std::string& team) { return kPrefix + "q/" + team; }
+
+bool valid_limit_key(const std::string& team) {
+  return !team.empty() && team.size() <= kMaxName &&
+         std::all_of(team.begin(), team.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
 json encode_spec(const JobSpec& s) {
   return json{{"id", s.id},
               {"cl", s.job_class},
@@ -191,6 +201,29 @@
   return false;
 }
 
+json encode_division(const std::vector<LimitShare>& shares) {
+  json cpus = json::array(), gpus = json::array();
+  for (const auto& s : shares) {
+    cpus.push_back(s.cpus);
+    gpus.push_back(s.gpus);
+  }
+  return json{{"c", std::move(cpus)}, {"g", std::move(gpus)}};
+}
+
+bool decode_division(const json& v, size_t blocks, std::vector<LimitShare>& shares) try {
+  const json &cpus = v.at("c"), &gpus = v.at("g");
+  if (!cpus.is_array() || !gpus.is_array() || cpus.size() != blocks || gpus.size() != blocks)
+    return false;
+  shares.assign(blocks, {});
+  for (size_t b = 0; b < blocks; ++b) {
+    shares[b] = {cpus[b].get<double>(), gpus[b].get<double>()};
+    if (!(shares[b].cpus >= 0) || !(shares[b].gpus >= 0)) return false;
+  }
+  return true;
+} catch (const json::exception&) {
+  return false;
+}
+
 json encode_type(const MachineType& t) {
   return json{{"n", t.name},     {"c", t.cpus},           {"g", t.gpus},  {"m", t.memory_gb},
               {"k", t.cache_gb}, {"f", t.fetch_gb_per_s}, {"p", t.price}, {"s", t.spot_price},
--- a/src/rooksill/core/codec.h
+++ b/src/rooksill/core/codec.h
@@ -17,6 +17,9 @@
 std::string machines_key(int block, int page);
 std::string type_key(const std::string& name);
 std::string life_sign_key(const std::string& label);
+std::string limit_key(const std::string& team);
+// Whether a team's name may be part of a key, and of the path that reads the key.
+bool valid_limit_key(const std::string& team);
 inline const std::string kLeaderKey = "rk/lead";
 inline const std::string kTermKey = "rk/term";
 
@@ -30,6 +33,8 @@
 bool decode_machines(const nlohmann::json& v, std::map<std::string, Machine>& machines);
 nlohmann::json encode_life_sign(const LifeSign& sign);
 bool decode_life_sign(const nlohmann::json& v, LifeSign& sign);
+nlohmann::json encode_division(const std::vector<LimitShare>& shares);
+bool decode_division(const nlohmann::json& v, size_t blocks, std::vector<LimitShare>& shares);
 nlohmann::json encode_type(const MachineType& type);
 bool decode_type(const nlohmann::json& v, MachineType& type);
 
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -172,6 +172,7 @@
   b.term = leader_.term();
   b.addresses = holder_.take_addresses();
   b.dark_zones = holder_.dark_zones();
+  b.team_use = holder_.team_use();
   cancellations_.fill(b);
   peers_.broadcast(net::PeerKind::kBeat, net::pack(b));
 }
@@ -331,6 +332,7 @@
   replica_.touched_jobs.clear();
   holder_.look();
   replica_.touched_machines.clear();
+  holder_.transfer_limits();
   holder_.place();
   holder_.flush();
   holder_.push();
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "rooksill/core/codec.h"
-#include "rooksill/placement/grants.h"
+#include "rooksill/placement/limit_shares.h"
 
 namespace rooksill::core {
 
@@ -48,7 +48,8 @@
       replica_(replica),
       client_(client),
       committer_(committer),
-      cancellations_(cancellations) {}
+      cancellations_(cancellations),
+      transfers_(ctx, replica, committer) {}
 
 // A block that went to another and came back within a batch is not the one that was held.
 bool Holder::holds(int block) const {
@@ -485,7 +486,9 @@
     // state has it: its image is there, and nothing has to be written. After a cut that outlasts
     // the lease that is true of hundreds of machines at once. A machine that is to go is no place
     // for it.
-    if (job->over() || draining || w.bad || drain_.count(w.name) != 0) {
+    // Neither where its team's share has been given to others since it ended here unwritten.
+    if (job->over() || draining || w.bad || drain_.count(w.name) != 0 ||
+        beyond_share(job->spec.team, w)) {
       if (sure) change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
     } else {
       order({Order::Op::kStart, ref, s->attempt, 0});
@@ -990,6 +993,7 @@
     if (auto w = workers_.find(name); w != workers_.end()) w->second.view_stale = true;
   routed_term_ = r.term;
   for (const auto& x : r.routes) routed_.insert({x.job, x.chunk});
+  asked_transfers_.insert(asked_transfers_.end(), r.transfers.begin(), r.transfers.end());
   drain_.insert(r.drain.begin(), r.drain.end());
   for (const auto& m : r.moves) {
     const TaskRef ref{m.job, m.index};
@@ -1003,18 +1007,43 @@
   place_wanted_ = true;
 }
 
+// Called once all machines of the blocks held are known here: what a share's owner uses has to be
+// complete before a part of the share is passed on.
+void Holder::transfer_limits() {
+  shares_.clear();
+  transfers_.tick([this](int block, uint64_t lease) { return under(block, lease); });
+  for (const auto& t : std::exchange(asked_transfers_, {})) {
+    if (!holds(t.from)) continue;
+    for (auto& [name, w] : workers_) room_of(w);
+    const LimitShare share = placement::limit_share(ctx_.settings, replica_, t.team, t.from);
+    const auto& used = team_use_[{t.from, t.team}];
+    transfers_.start(t, {share.cpus - used.first, share.gpus - used.second});
+  }
+}
+
+std::vector<net::TeamUse> Holder::team_use() {
+  std::vector<net::TeamUse> out;
+  for (const auto& [at, used] : team_use_) {
+    const auto& [block, team] = at;
+    auto limits = ctx_.settings.platform.teams.find(team);
+    if (!holds(block) || limits == ctx_.settings.platform.teams.end()) continue;
+    if (limits->second.cpus_max <= 0 && limits->second.gpus_max <= 0) continue;
+    const LimitShare leaving = transfers_.leaving(team, block);
+    out.push_back({block, team, used.first + leaving.cpus, used.second + leaving.gpus});
+  }
+  return out;
+}
+
 void Holder::deal_alone() {
   if (ctx_.now.steady < next_deal_) return;
   const double report = ctx_.settings.platform.report_s;
   next_deal_ = ctx_.now.steady + report / 6;
-  const int blocks = static_cast<int>(replica_.leases.size());
   for (const auto& id : replica_.waiting_jobs) {
     const Job& job = *replica_.job(id);
     for (uint32_t c = 0; c < job.chunks.size(); ++c) {
       const Chunk& chunk = job.chunks[c];
       if (chunk.done + chunk.placed >= chunk.tasks.size()) continue;
-      if (holds(
-              placement::dealt_block(ctx_.settings, replica_.types, job, c, blocks, ctx_.now.wall)))
+      if (holds(placement::dealt_block(ctx_.settings, replica_, job, c, ctx_.now.wall)))
         routed_.insert({id, c});
       else
         routed_.erase({id, c});
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -8,6 +8,7 @@
 
 #include "rooksill/core/cancellations.h"
 #include "rooksill/core/context.h"
+#include "rooksill/core/limit_transfers.h"
 #include "rooksill/core/replica.h"
 #include "rooksill/net/peer_codec.h"
 #include "rooksill/state/committer.h"
@@ -82,9 +83,11 @@
   void deal_alone();  // while nobody routes: what waits, by a rule that all controllers share
   void note_address(const std::string& machine, const std::string& address);
 
-  void tick();   // takes leases up and gives them up
-  void scan();   // what only time changes: probes, silence
-  void look();   // at what the batch changed
+  void tick();  // takes leases up and gives them up
+  void scan();  // what only time changes: probes, silence
+  void look();  // at what the batch changed
+  // Passes on shares of limits as the leader asked, as far as they are not in use.
+  void transfer_limits();
   void place();  // at most once in a while, if there is reason to
   void flush();  // changes of state, reports' results first
   void push();   // commands that must be quick
@@ -93,6 +96,8 @@
   // What changed since the last call, and some others in turn; everything if `all`.
   std::vector<net::MachineView> take_views(bool all);
   std::vector<net::Address> take_addresses();
+  // Of teams with a limit, in the blocks held.
+  std::vector<net::TeamUse> team_use();
   size_t queued() const { return queue_.size(); }
   std::string summary();  // of the machines held, for the log
   bool holds(int block) const;
@@ -193,8 +198,9 @@
   static bool fits(const JobSpec& s, double cpus, double gpus, double memory);
   uint32_t slots(const JobSpec& s, const Worker& w);
   double score(const Job& job, const Worker& w) const;
-  double team_grant(const std::string& team, int block, bool gpus);
+  const LimitShare& team_share(const std::string& team, int block);
   bool within_limit(const JobSpec& s, int block);
+  bool beyond_share(const std::string& team, Worker& w);
   void place_chunk(const Candidate& c, const std::vector<Worker*>& workers);
   uint32_t make_room(const Job& job, uint32_t count, const std::vector<Worker*>& workers,
                      const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
@@ -222,7 +228,9 @@
   std::unordered_map<std::string, JobTrouble> troubles_;
   std::map<TaskRef, uint64_t> evicted_;  // attempt being stopped to make room or to drain
   std::map<std::pair<int, std::string>, std::pair<double, double>> team_use_;
-  std::map<std::tuple<int, std::string, bool>, double> grants_;
+  std::map<std::pair<int, std::string>, LimitShare> shares_;  // worked out anew with each pass
+  LimitTransfers transfers_;
+  std::vector<net::LimitTransfer> asked_transfers_;
   std::vector<std::string> attention_;
   std::optional<net::Sighting> sighting_;
   std::map<int, Unmet> unmet_;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -6,7 +6,7 @@
 #include <tuple>
 
 #include "rooksill/core/codec.h"
-#include "rooksill/placement/grants.h"
+#include "rooksill/placement/limit_shares.h"
 
 namespace rooksill::core {
 
@@ -30,7 +30,8 @@
       committer_(committer),
       peers_(peers),
       holder_(holder),
-      fleet_(fleet) {}
+      fleet_(fleet),
+      limits_(ctx, replica) {}
 
 bool Leader::leading() const {
   return leading_ && ctx_.now.steady < valid_until_ &&
@@ -316,6 +317,19 @@
 
 // ---- routing -------------------------------------------------------------------------------
 
+// What teams use of their limits, as far as holders can be heard.
+void Leader::refresh_limits() {
+  std::vector<net::TeamUse> used = holder_.team_use();
+  for (const auto& [label, p] : peers_.all()) {
+    if (!peers_.heard(label)) continue;
+    for (const auto& u : p.beat.team_use) {
+      const bool known = u.block >= 0 && static_cast<size_t>(u.block) < replica_.leases.size();
+      if (known && replica_.leases[static_cast<size_t>(u.block)].holder == label) used.push_back(u);
+    }
+  }
+  limits_.refresh(used);
+}
+
 void Leader::sum_up(const net::ViewMap& views) {
   pools_.assign(replica_.leases.size(), {});
   std::vector<std::map<std::tuple<std::string, std::string, bool>, size_t>> at(pools_.size());
@@ -373,13 +387,8 @@
     if (s.gpus > 0) n = std::min(n, std::floor(p.gpus / s.gpus + 1e-9));
     return std::max(0.0, n) * (s.spot && !p.spot ? 0.3 : 1);
   };
+  std::vector<BlockFit> fits(blocks);
   for (size_t b = 0; b < blocks; ++b) {
-    // A block without a grant for this team cannot take the job, whatever its room.
-    if (placement::granted_cpus(ctx_.settings, replica_.types, s.team, static_cast<int>(b),
-                                static_cast<int>(blocks)) < s.cpus) {
-      score[b] = -1;
-      continue;
-    }
     std::map<std::string, double> per_zone;
     double cached = 0;
     for (const Pool& p : pools_[b]) {
@@ -394,6 +403,17 @@
           s.spread
               ? std::min(n, static_cast<double>(most_in_zone) - std::min(zones[zone], most_in_zone))
               : n;
+    fits[b].room = fit;
+    // A block without a share for this team cannot take the job, whatever its room.
+    const int block = static_cast<int>(b);
+    if (placement::limit_share(ctx_.settings, replica_, s.team, block).cpus < s.cpus) {
+      score[b] = -1;
+      continue;
+    }
+    const double within = limits_.tasks_left(s, block);
+    fits[b].within_share = std::min(fit, within);
+    fit = std::min(fit, within);
+    cached = std::min(cached, within);
     score[b] +=
         10 * std::min(fit, wanted) + 5 * std::min(cached, wanted) + 0.01 * std::min(fit, 100.0);
     // Among equals, jobs are dealt out evenly.
@@ -401,6 +421,8 @@
   }
   const auto best =
       static_cast<size_t>(std::max_element(score.begin(), score.end()) - score.begin());
+  if (fits[best].within_share < wanted) limits_.note(s, wanted, fits);
+  limits_.take(s, static_cast<int>(best), std::min(wanted, fits[best].within_share));
   // The next job finds less room there, also before its holder has said so.
   double left = wanted;
   for (Pool& p : pools_[best]) {
@@ -450,8 +472,7 @@
       } else if (together >= 0) {
         block = together;
       } else if (apart) {
-        block = placement::dealt_block(ctx_.settings, replica_.types, job, c,
-                                       static_cast<int>(replica_.leases.size()), ctx_.now.wall);
+        block = placement::dealt_block(ctx_.settings, replica_, job, c, ctx_.now.wall);
       } else {
         block = choose_block(job, c);
       }
@@ -471,7 +492,11 @@
   const double now = ctx_.now.steady;
   const bool full = now >= next_full_routes_;
   const auto moves = fleet_.take_moves();
-  if (!full && fresh_routes_.empty() && moves.empty()) return;
+  std::vector<bool> can_give;
+  for (const auto& l : replica_.leases)
+    can_give.push_back(l.holder == ctx_.settings.platform.label || peers_.heard(l.holder));
+  const auto transfers = limits_.decide(can_give);
+  if (!full && fresh_routes_.empty() && moves.empty() && transfers.empty()) return;
   std::map<std::string, net::Routes> messages;
   for (const auto& label : ctx_.settings.platform.labels()) {
     net::Routes& m = messages[label];
@@ -500,8 +525,9 @@
   }
   fresh_routes_.clear();
   for (auto& [label, m] : messages) m.moves = moves;
+  for (const auto& t : transfers) messages[holder(t.from)].transfers.push_back(t);
   for (auto& [label, m] : messages) {
-    if (!full && m.routes.empty() && m.moves.empty()) continue;
+    if (!full && m.routes.empty() && m.moves.empty() && m.transfers.empty()) continue;
     if (label == ctx_.settings.platform.label)
       holder_.routes(m);
     else if (!label.empty())
@@ -569,6 +595,7 @@
   if (now >= next_sum_) {
     next_sum_ = now + report / 10;
     sum_up(views);
+    refresh_limits();
   }
   // Whom to rent for changes slowly beside the tick.
   if (fleet_.wants_waiting())
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -6,6 +6,7 @@
 #include "rooksill/cloud/fleet.h"
 #include "rooksill/core/context.h"
 #include "rooksill/core/holder.h"
+#include "rooksill/core/limit_balancer.h"
 #include "rooksill/core/peers.h"
 #include "rooksill/core/replica.h"
 #include "rooksill/state/committer.h"
@@ -47,6 +48,7 @@
     std::unordered_map<std::string, double> cached;  // cores where an image is
   };
   void sum_up(const net::ViewMap& views);
+  void refresh_limits();
   void route(const std::set<std::string>& jobs);
   void send_routes();
   int choose_block(const Job& job, uint32_t chunk);
@@ -58,6 +60,7 @@
   Peers& peers_;
   Holder& holder_;
   cloud::Fleet& fleet_;
+  LimitBalancer limits_;
 
   bool leading_ = false, electing_ = false, renewing_ = false, heard_peer_ = false;
   uint64_t term_ = 0, lease_ = 0;
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -85,6 +85,18 @@
   uint64_t token = 0;        // rises with each lease
 };
 
+// CPUs and GPUs of a team's limit.
+struct LimitShare {
+  double cpus = 0, gpus = 0;
+};
+
+// How a team's limit is divided among the blocks. Until the first transfer the state has no such
+// record, and the division is the one that the settings give.
+struct LimitDivision {
+  uint64_t stamp = 0;
+  std::vector<LimitShare> shares;  // by block
+};
+
 struct Leadership {
   uint64_t stamp = 0;  // 0: vacant
   std::string label;
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -141,6 +141,15 @@
       known = std::move(fresh);
       return true;
     }
+    case 'q': {
+      LimitDivision fresh;
+      LimitDivision& known = divisions[name];
+      if (stamp <= known.stamp || !decode_division(value, leases.size(), fresh.shares))
+        return false;
+      fresh.stamp = stamp;
+      known = std::move(fresh);
+      return true;
+    }
     case 'c': {
       MachineType t;
       if (!decode_type(value, t)) return false;
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -74,7 +74,8 @@
   std::vector<BlockLease> leases;
   std::vector<std::vector<MachinePage>> pages;  // by block
   Leadership leader;
-  std::map<std::string, LifeSign> life_signs;  // by controller
+  std::map<std::string, LimitDivision> divisions;  // by team
+  std::map<std::string, LifeSign> life_signs;      // by controller
   uint64_t term = 0, term_stamp = 0;
   std::set<std::string> open_jobs;
   std::set<std::string> waiting_jobs;   // open, with tasks on no machine
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -53,6 +53,14 @@
   MSGPACK_DEFINE_ARRAY(label, incarnation, cancelled, said_at)
 };
 
+// What a team's tasks use of its limit in a block, decisions under way counted.
+struct TeamUse {
+  int block = 0;
+  std::string team;
+  double cpus = 0, gpus = 0;
+  MSGPACK_DEFINE_ARRAY(block, team, cpus, gpus)
+};
+
 struct Beat {
   bool ready = false, state_ok = false, suspects_itself = false;
   uint64_t term = 0;                    // this node leads in this term; 0: it does not
@@ -62,8 +70,9 @@
   double said_at = -1e9;                // by the sender's steady clock
   uint64_t cancelled = 0;               // cancellations that it has learned of, in all
   std::vector<Heard> heard;             // one without these, of an older form, vouches for nothing
+  std::vector<TeamUse> team_use;        // of teams with a limit, in the blocks held
   MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones, state_age,
-                       said_at, cancelled, heard)
+                       said_at, cancelled, heard, team_use)
 };
 
 struct Update {
@@ -98,13 +107,23 @@
   MSGPACK_DEFINE_ARRAY(job, index, attempt)
 };
 
+// The leader asks the holder of block `from` to pass on a part of its share of a team's limit.
+struct LimitTransfer {
+  std::string team;
+  int from = 0, to = 0;
+  double cpus = 0, gpus = 0;
+  uint64_t stamp = 0;  // revision of the division that this was decided on
+  MSGPACK_DEFINE_ARRAY(team, from, to, cpus, gpus, stamp)
+};
+
 struct Routes {
   uint64_t term = 0;
   bool full = false;  // replaces what was routed before
   std::vector<Route> routes;
   std::vector<std::string> drain;
   std::vector<Move> moves;
-  MSGPACK_DEFINE_ARRAY(term, full, routes, drain, moves)
+  std::vector<LimitTransfer> transfers;
+  MSGPACK_DEFINE_ARRAY(term, full, routes, drain, moves, transfers)
 };
 
 // A worker that reported without being in any block.
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -5,7 +5,7 @@
 
 #include "rooksill/core/codec.h"
 #include "rooksill/core/holder.h"
-#include "rooksill/placement/grants.h"
+#include "rooksill/placement/limit_shares.h"
 
 namespace rooksill::core {
 
@@ -155,24 +155,29 @@
   return kept;
 }
 
-double Holder::team_grant(const std::string& team, int block, bool gpus) {
-  auto [it, fresh] = grants_.try_emplace({block, team, gpus}, 0);
+// What the team may use in the block, less what is on its way to another one.
+const LimitShare& Holder::team_share(const std::string& team, int block) {
+  auto [it, fresh] = shares_.try_emplace({block, team});
   if (!fresh) return it->second;
-  const auto& p = ctx_.settings.platform;
-  auto limits = p.teams.find(team);
-  if (limits == p.teams.end()) return 0;
-  const int blocks = static_cast<int>(replica_.leases.size());
-  if (!gpus)
-    return it->second = placement::granted_cpus(ctx_.settings, replica_.types, team, block, blocks);
-  double biggest = 0;
-  for (const auto& [n, t] : replica_.types) biggest = std::max(biggest, t.gpus);
-  return it->second = placement::granted(limits->second.gpus_max, 2 * biggest, team, block, blocks);
+  it->second = placement::limit_share(ctx_.settings, replica_, team, block);
+  const LimitShare leaving = transfers_.leaving(team, block);
+  it->second.cpus -= leaving.cpus;
+  it->second.gpus -= leaving.gpus;
+  return it->second;
 }
 
 bool Holder::within_limit(const JobSpec& s, int block) {
   const auto& used = team_use_[{block, s.team}];
-  return used.first + s.cpus <= team_grant(s.team, block, false) + kSlack &&
-         used.second + s.gpus <= team_grant(s.team, block, true) + kSlack;
+  const LimitShare& share = team_share(s.team, block);
+  return used.first + s.cpus <= share.cpus + kSlack && used.second + s.gpus <= share.gpus + kSlack;
+}
+
+// Whether what the team has in the machine's block, with what is placed there, is too much already.
+bool Holder::beyond_share(const std::string& team, Worker& w) {
+  room_of(w);
+  const auto& used = team_use_[{w.block, team}];
+  const LimitShare& share = team_share(team, w.block);
+  return used.first > share.cpus + kSlack || used.second > share.gpus + kSlack;
 }
 
 // How many more tasks of this kind a machine takes.
@@ -188,8 +193,9 @@
   part(r.memory, s.memory_gb);
   if (n < 1) return 0;
   const auto& used = team_use_[{r.block, s.team}];
-  part(team_grant(s.team, r.block, false) - used.first, s.cpus);
-  part(team_grant(s.team, r.block, true) - used.second, s.gpus);
+  const LimitShare& share = team_share(s.team, r.block);
+  part(share.cpus - used.first, s.cpus);
+  part(share.gpus - used.second, s.gpus);
   return n < 1 ? 0 : static_cast<uint32_t>(n);
 }
 
@@ -387,7 +393,7 @@
   for (const auto& [name, t] : replica_.types)
     if (t.cpus > 0) cheapest_ = std::min(cheapest_, t.price / t.cpus);
   if (!(cheapest_ > 0)) cheapest_ = 1;
-  grants_.clear();
+  shares_.clear();
   unmet_.clear();
   promised_.clear();
   evictions_ = 0;
