Work without room goes where lower work can make it; a cut zone's arrays wait one lease

Machines of a cut zone were kept for two leases unless there was idle room elsewhere, though urgent and standard arrays could have had idle work's room. Changed: machines' views say the cores in use by priority, and routing counts what lower work could leave after real room; arrays other than idle count as replicas do when a cut zone's machines may go.

--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -474,13 +474,14 @@
   return true;
 }
 
-// Whether some replica on a machine of a cut zone could run in another one, for which lower work
-// there makes room.
+// Whether some task on a machine of a cut zone could run in another one, for which lower work there
+// makes room.
 bool Fleet::can_leave(const Machine& m) const {
   for (const auto& ref : replica_.placed_on(m.name)) {
     const Job& job = *replica_.job(ref.job);
     const JobSpec& s = job.spec;
-    if (s.shape != core::Shape::kService || job.over() || s.one_zone || !s.zone.empty()) continue;
+    if (job.over() || s.one_zone || !s.zone.empty()) continue;
+    if (s.shape != core::Shape::kService && s.priority == core::Priority::kIdle) continue;
     if (!s.spread) return true;
     std::map<std::string, uint32_t> zones;
     for (const auto& c : job.chunks)
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -1085,6 +1085,9 @@
   v.bad = w.bad;
   v.warned = w.notice_until.has_value();
   v.cpus_free = open(w) ? room.cpus : 0;
+  if (open(w))
+    std::copy(room.cpus_by_priority.begin(), room.cpus_by_priority.end(),
+              v.cpus_by_priority.begin());
   v.gpus_free = room.gpus;
   v.memory_free = room.memory;
   v.tasks = room.tasks;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -335,7 +335,7 @@
   std::vector<std::map<std::tuple<std::string, std::string, bool>, size_t>> at(pools_.size());
   for (const auto& [name, v] : views) {
     const Machine* m = replica_.machine(name);
-    if (m == nullptr || !v.up || v.cpus_free <= 0) continue;
+    if (m == nullptr || !v.up) continue;
     auto type = replica_.types.find(m->type);
     if (type == replica_.types.end()) continue;
     auto& pools = pools_[static_cast<size_t>(m->block)];
@@ -348,6 +348,9 @@
       pools.back().spot = m->spot;
     }
     Pool& p = pools[it->second];
+    for (size_t k = 0; k < p.cpus_by_priority.size(); ++k)
+      p.cpus_by_priority[k] += v.cpus_by_priority[k];
+    if (v.cpus_free <= 0) continue;
     p.cpus += v.cpus_free;
     p.memory += v.memory_free;
     p.gpus += v.gpus_free;
@@ -387,13 +390,20 @@
     if (s.gpus > 0) n = std::min(n, std::floor(p.gpus / s.gpus + 1e-9));
     return std::max(0.0, n) * (s.spot && !p.spot ? 0.3 : 1);
   };
+  // What lower work could leave, if there is no room.
+  auto lower_cpus = [&](const Pool& p) {
+    double sum = 0;
+    for (size_t k = 0; k < static_cast<size_t>(s.priority); ++k) sum += p.cpus_by_priority[k];
+    return sum;
+  };
   std::vector<BlockFit> fits(blocks);
   for (size_t b = 0; b < blocks; ++b) {
     std::map<std::string, double> per_zone;
-    double cached = 0;
+    double cached = 0, lower = 0;
     for (const Pool& p : pools_[b]) {
       if (!usable(p)) continue;
       per_zone[p.zone] += slots(p, p.cpus);
+      lower += lower_cpus(p);
       auto there = p.cached.find(s.image);
       if (there != p.cached.end()) cached += slots(p, std::min(there->second, p.cpus));
     }
@@ -414,6 +424,9 @@
     fits[b].within_share = std::min(fit, within);
     fit = std::min(fit, within);
     cached = std::min(cached, within);
+    // Where there is no room, work goes to where lower work can make it.
+    const double unplaced = std::max(0.0, std::min(wanted, within) - fit);
+    if (s.cpus > 0) score[b] += 2 * std::min(unplaced, std::floor(lower / s.cpus));
     score[b] +=
         10 * std::min(fit, wanted) + 5 * std::min(cached, wanted) + 0.01 * std::min(fit, 100.0);
     // Among equals, jobs are dealt out evenly.
@@ -434,6 +447,14 @@
     p.gpus -= n * s.gpus;
     left -= n;
   }
+  for (Pool& p : pools_[best]) {
+    if (!usable(p)) continue;
+    for (size_t k = 0; k < static_cast<size_t>(s.priority) && left > 0; ++k) {
+      const double stopped = std::min(p.cpus_by_priority[k], left * s.cpus);
+      p.cpus_by_priority[k] -= stopped;
+      if (s.cpus > 0) left -= stopped / s.cpus;
+    }
+  }
   return static_cast<int>(best);
 }
 
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -1,6 +1,7 @@
 // Leadership: the election over a state lease, the leasing of blocks, the routing of jobs.
 #pragma once
 
+#include <array>
 #include <unordered_map>
 
 #include "rooksill/cloud/fleet.h"
@@ -45,6 +46,7 @@
     std::string zone;
     bool spot = false;
     double cpus = 0, memory = 0, gpus = 0;
+    std::array<double, 4> cpus_by_priority{};        // of tasks there
     std::unordered_map<std::string, double> cached;  // cores where an image is
   };
   void sum_up(const net::ViewMap& views);
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -2,6 +2,7 @@
 // anything that the state service has not been asked about.
 #pragma once
 
+#include <array>
 #include <msgpack.hpp>
 #include <string>
 #include <unordered_map>
@@ -26,8 +27,9 @@
   double load = 0;  // share of the machine in use
   uint32_t tasks = 0;
   std::vector<std::string> images;
+  std::array<float, 4> cpus_by_priority{};  // of tasks there that are not being stopped
   MSGPACK_DEFINE_ARRAY(name, up, draining, silent, bad, warned, cpus_free, gpus_free, memory_free,
-                       load, tasks, images)
+                       load, tasks, images, cpus_by_priority)
   bool operator==(const MachineView&) const = default;
 };
 
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -392,6 +392,12 @@
     } else if (what == "running") {
       const int n = w.running(one(2).truth.id);
       if (n != static_cast<int>(l.number_at(3))) fail(l, std::to_string(n) + " running");
+    } else if (what == "services_whole") {
+      for (const auto& [id, j] : w.jobs()) {
+        if (!j.truth.service || !j.accepted || j.cancel_asked) continue;
+        if (w.running(id) != j.truth.tasks)
+          fail(l, id + ": " + std::to_string(w.running(id)) + " running");
+      }
     } else if (what == "status") {
       if (one(2).status != static_cast<int>(l.number_at(3)))
         fail(l, "status " + std::to_string(one(2).status));
