--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "rooksill/core/codec.h"
+#include "rooksill/core/socket_shares.h"
 #include "rooksill/placement/limit_shares.h"
 
 namespace rooksill::core {
@@ -32,8 +33,6 @@
 constexpr double kTxnShare = 0.6;    // part of a second's writes that one transaction may take
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
-// Parts of the process's sockets for commands and for probes under way.
-constexpr double kCommandSockets = 0.15, kProbeSockets = 0.15;
 constexpr double kDecidedAhead = 0.25;  // s of writes that decisions may wait for
 constexpr int kGathered = 5;            // rank of results that complete nothing
 }  // namespace
--- a/src/rooksill/core/service.cc
+++ b/src/rooksill/core/service.cc
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "rooksill/core/core.h"
+#include "rooksill/core/socket_shares.h"
 #include "rooksill/net/http_client.h"
 #include "rooksill/net/http_server.h"
 #include "rooksill/net/peer_net.h"
@@ -17,10 +18,6 @@
 
 namespace {
 
-// Parts of the process's sockets: for those that come in (workers, users, health checks), and for
-// the calls that go out, nearly all of them to workers. The rest is for the other controllers.
-constexpr double kSocketsIn = 0.65, kSocketsOut = 0.3;
-
 struct LoopDeleter {
   void operator()(struct ev_loop* loop) const { ev_loop_destroy(loop); }
 };
@@ -37,10 +34,10 @@
       : loop_(ev_loop_new(EVFLAG_AUTO)),
         core_(settings, seed(settings), read_clocks().wall,
               spdlog::get_level() <= spdlog::level::debug),
-        client_(loop_.get(), sockets(settings, kSocketsOut),
+        client_(loop_.get(), sockets(settings, core::kOutgoingSockets),
                 [this](core::CallDone d) { push(std::move(d)); }),
         server_(
-            loop_.get(), settings.platform.api_address, sockets(settings, kSocketsIn),
+            loop_.get(), settings.platform.api_address, sockets(settings, core::kIncomingSockets),
             [this](uint64_t id, net::HttpMessage m) {
               push(core::Request{id, std::move(m.method), std::move(m.target), std::move(m.body)});
             }),
