--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 #include "rooksill/core/codec.h"
 #include "rooksill/placement/limit_shares.h"
@@ -459,9 +460,8 @@
     const double heard = ctx_.settings.operators.machine_silence_reports * p.report_s;
     if (now - since < p.lease_s - heard) return false;
     const core::MachineLoad& load = replica_.load(name);
-    const bool room = load.replica_cpus <= 0 && load.cpus <= room_elsewhere_;
+    const bool room = load.replica_cpus <= 0 && take_room_elsewhere(load);
     if (now - since < kCutLeases * p.lease_s && !room && !can_leave(*m)) return false;
-    room_elsewhere_ -= load.cpus;
   }
   if (replica_.load(name).replica_cpus <= 0) return true;
   if (now >= next_silent_release_) {
@@ -474,14 +474,33 @@
   return true;
 }
 
-// Whether some task on a machine of a cut zone could run in another one, for which lower work there
-// makes room.
+// Whether the arrays on a machine of a cut zone have room elsewhere, idle or in use by lower work
+// that makes room for them; it is theirs then.
+bool Fleet::take_room_elsewhere(const core::MachineLoad& load) {
+  size_t highest = 0;
+  for (const auto& ref : load.tasks)
+    highest = std::max(highest, static_cast<size_t>(replica_.job(ref.job)->spec.priority));
+  const auto lower_end = lower_elsewhere_.begin() + static_cast<long>(highest);
+  if (load.cpus > std::accumulate(lower_elsewhere_.begin(), lower_end, room_elsewhere_))
+    return false;
+  double left = load.cpus;
+  auto take_from = [&left](double& room) {
+    const double taken = std::min(room, left);
+    room -= taken;
+    left -= taken;
+  };
+  take_from(room_elsewhere_);
+  std::for_each(lower_elsewhere_.begin(), lower_end, take_from);
+  return true;
+}
+
+// Whether some replica on a machine of a cut zone could run in another one, for which lower work
+// there makes room.
 bool Fleet::can_leave(const Machine& m) const {
   for (const auto& ref : replica_.placed_on(m.name)) {
     const Job& job = *replica_.job(ref.job);
     const JobSpec& s = job.spec;
-    if (job.over() || s.one_zone || !s.zone.empty()) continue;
-    if (s.shape != core::Shape::kService && s.priority == core::Priority::kIdle) continue;
+    if (s.shape != core::Shape::kService || job.over() || s.one_zone || !s.zone.empty()) continue;
     if (!s.spread) return true;
     std::map<std::string, uint32_t> zones;
     for (const auto& c : job.chunks)
@@ -532,9 +551,13 @@
   if (ctx_.now.steady >= next_room_) {
     next_room_ = ctx_.now.steady + ctx_.settings.platform.report_s;
     room_elsewhere_ = 0;
+    lower_elsewhere_.fill(0);
     for (const auto& [name, v] : views) {
       const Machine* m = replica_.machine(name);
-      if (m != nullptr && v.up && !v.silent) room_elsewhere_ += v.cpus_free;
+      if (m == nullptr || !v.up || v.silent) continue;
+      room_elsewhere_ += v.cpus_free;
+      for (size_t k = 0; k < lower_elsewhere_.size(); ++k)
+        lower_elsewhere_[k] += v.cpus_by_priority[k];
     }
   }
   for (const auto& [name, m] : replica_.machines) {
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -1,6 +1,7 @@
 // The leader's dealings with the cloud: sizing once a period, on-demand rentals, releases.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -77,6 +78,7 @@
   void write_machines();
   void watch_zones(const net::ViewMap& views, const std::set<std::string>& dark);
   bool may_release_silent(const std::string& name);
+  bool take_room_elsewhere(const core::MachineLoad& load);
   bool can_leave(const core::Machine& m) const;
   void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
@@ -155,6 +157,7 @@
   std::map<std::string, double> silent_since_;
   std::set<std::pair<int, std::string>> dark_to_holder_;
   double room_elsewhere_ = 0, next_room_ = 0;  // cores free on machines that are heard
+  std::array<double, 4> lower_elsewhere_{};    // cores in use there, by priority
 };
 
 }  // namespace rooksill::cloud
