--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <numeric>
 
 #include "rooksill/core/codec.h"
 #include "rooksill/placement/limit_shares.h"
@@ -18,21 +17,15 @@
 using state::Outcome;
 
 namespace {
-constexpr double kLateBoot = 2.5;            // boot times after which a machine is not counted on
-constexpr double kFailedBoot = 4.0;          // boot times after which it is returned
-constexpr double kMinimumCharge = 60;        // the protocol: a machine that is deleted costs 60 s
-constexpr double kMoveReports = 0.4;         // pause between two moves of replicas, in reports
-constexpr double kFloorTasks = 2;            // replicas' worth of room that a zone keeps
-constexpr double kFloorPart = 0.1;           // and of what its replicas use
-constexpr double kFloorMachines = 1;         // and of what the fullest machine there has
-constexpr double kSilentPauseReports = 1.5;  // between releases of silent machines with replicas
-constexpr double kSilentPart = 0.05;         // of all machines that are released at a time
-constexpr double kSilentLease = 0.5;         // part of a lease that the last of them may wait
-constexpr double kCutLeases = 2;     // leases after which a cut zone's machines are given up
-constexpr int kTasksMoved = 3;       // tasks of arrays moved at a time, and
-constexpr double kMovedPart = 0.02;  // for each machine there is
-constexpr int kMoveLooks = 48;       // tasks looked at for a move at a time
-constexpr int kZoneLeast = 4;  // machines in a zone below which their silence says nothing of it
+constexpr double kFailedBoot = 4.0;    // boot times after which it is returned
+constexpr double kMinimumCharge = 60;  // the protocol: a machine that is deleted costs 60 s
+constexpr double kMoveReports = 0.4;   // pause between two moves of replicas, in reports
+constexpr double kFloorTasks = 2;      // replicas' worth of room that a zone keeps
+constexpr double kFloorPart = 0.1;     // and of what its replicas use
+constexpr double kFloorMachines = 1;   // and of what the fullest machine there has
+constexpr int kTasksMoved = 3;         // tasks of arrays moved at a time, and
+constexpr double kMovedPart = 0.02;    // for each machine there is
+constexpr int kMoveLooks = 48;         // tasks looked at for a move at a time
 constexpr size_t kReleaseBatch = 100;
 constexpr int kHireMost = 50;
 constexpr double kRentReports = 0.3;  // between two on-demand rentals of one offer
@@ -45,7 +38,8 @@
     : ctx_(ctx),
       replica_(replica),
       committer_(committer),
-      limit_(ctx.settings.platform.cloud_rps) {}
+      limit_(ctx.settings.platform.cloud_rps),
+      silent_machines_(ctx, replica) {}
 
 double Fleet::share(const JobSpec& s, const MachineType& t) const {
   double out = 0;
@@ -111,7 +105,7 @@
   writing_.clear();
   listing_busy_ = catalog_busy_ = list_seen_ = false;
   list_after_.clear();
-  shut_until_.clear();
+  silent_machines_.start_term();
   next_list_ = next_catalog_ = 0;
   // What was measured while following is used from the first full period on.
   next_period_ = std::max(next_measure_, ctx_.now.steady + ctx_.settings.platform.report_s);
@@ -234,8 +228,7 @@
 // ---- rentals -------------------------------------------------------------------------------
 
 bool Fleet::open(const Offer& offer) const {
-  auto shut = shut_until_.find(offer.zone);
-  if (shut != shut_until_.end() && shut->second > ctx_.now.steady) return false;
+  if (silent_machines_.cut_off(offer.zone)) return false;
   auto it = refused_until_.find(offer);
   return it == refused_until_.end() || it->second <= ctx_.now.steady;
 }
@@ -441,125 +434,7 @@
   if (sent) release_sent_.insert(names.begin(), names.end());
 }
 
-// Several machines with replicas that fall silent together are released some at a time: what the
-// first ones' replicas bring to their new machines lets the next ones' start at once, and until
-// then those may still be serving. Past most of the lease they are about to be killed anyway.
-bool Fleet::may_release_silent(const std::string& name) {
-  const double now = ctx_.now.steady;
-  const auto& p = ctx_.settings.platform;
-  if (releasing_.count(name) != 0) return true;
-  const double since = silent_since_.emplace(name, now).first->second;
-  const Machine* m = replica_.machine(name);
-  auto shut = m != nullptr ? shut_until_.find(m->zone) : shut_until_.end();
-  // Its own holder's word is there with the word that it is silent; the others' may come later.
-  const bool dark = m != nullptr && dark_to_holder_.count({m->block, m->zone}) != 0;
-  if (dark || (shut != shut_until_.end() && shut->second > now)) {
-    // In a zone that is cut off work goes on until the machines' leases end; to release them would
-    // only end it sooner, for want of as much room elsewhere. Afterwards it starts again as soon as
-    // the zone is back, with its images there, unless there is room for it elsewhere by then.
-    const double heard = ctx_.settings.operators.machine_silence_reports * p.report_s;
-    if (now - since < p.lease_s - heard) return false;
-    const core::MachineLoad& load = replica_.load(name);
-    const bool room = load.replica_cpus <= 0 && take_room_elsewhere(load);
-    if (now - since < kCutLeases * p.lease_s && !room && !can_leave(*m)) return false;
-  }
-  if (replica_.load(name).replica_cpus <= 0) return true;
-  if (now >= next_silent_release_) {
-    next_silent_release_ = now + kSilentPauseReports * p.report_s;
-    silent_left_ =
-        std::max(1, static_cast<int>(kSilentPart * static_cast<double>(replica_.machines.size())));
-  }
-  if (silent_left_ <= 0 && now - since < kSilentLease * p.lease_s) return false;
-  --silent_left_;
-  return true;
-}
-
-// Whether the arrays on a machine of a cut zone have room elsewhere, idle or in use by lower work
-// that makes room for them; it is theirs then.
-bool Fleet::take_room_elsewhere(const core::MachineLoad& load) {
-  size_t highest = 0;
-  for (const auto& ref : load.tasks)
-    highest = std::max(highest, static_cast<size_t>(replica_.job(ref.job)->spec.priority));
-  const auto lower_end = lower_elsewhere_.begin() + static_cast<long>(highest);
-  if (load.cpus > std::accumulate(lower_elsewhere_.begin(), lower_end, room_elsewhere_))
-    return false;
-  double left = load.cpus;
-  auto take_from = [&left](double& room) {
-    const double taken = std::min(room, left);
-    room -= taken;
-    left -= taken;
-  };
-  take_from(room_elsewhere_);
-  std::for_each(lower_elsewhere_.begin(), lower_end, take_from);
-  return true;
-}
-
-// Whether some replica on a machine of a cut zone could run in another one, for which lower work
-// there makes room.
-bool Fleet::can_leave(const Machine& m) const {
-  for (const auto& ref : replica_.placed_on(m.name)) {
-    const Job& job = *replica_.job(ref.job);
-    const JobSpec& s = job.spec;
-    if (s.shape != core::Shape::kService || job.over() || s.one_zone || !s.zone.empty()) continue;
-    if (!s.spread) return true;
-    std::map<std::string, uint32_t> zones;
-    for (const auto& c : job.chunks)
-      for (const auto& t : c.tasks)
-        if (const Machine* at = t.machine.empty() ? nullptr : replica_.machine(t.machine))
-          ++zones[at->zone];
-    for (const auto& [zone, z] : zones_)
-      if (!zone.empty() && zone != m.zone && zones[zone] < (s.tasks + 1) / 2) return true;
-  }
-  return false;
-}
-
-// A zone that is cut off: its holders say so, or most of its machines are silent. What is rented
-// there would not be heard of either, and is rented elsewhere. Where no machine is left to show
-// that the zone is back, a rental does, now and then.
-void Fleet::watch_zones(const net::ViewMap& views, const std::set<std::string>& dark) {
-  std::map<std::string, std::pair<int, int>> seen;  // silent or late, of all
-  for (const auto& [name, m] : replica_.machines) {
-    auto v = views.find(name);
-    auto type = replica_.types.find(m.type);
-    if (v == views.end() || type == replica_.types.end()) continue;
-    const double age = ctx_.now.wall - m.rented;
-    if (!v->second.up && age < kLateBoot * type->second.boot_s) continue;
-    auto& [silent, all] = seen[m.zone];
-    ++all;
-    if (v->second.silent || !v->second.up) ++silent;
-  }
-  std::set<std::string> shut;
-  for (const auto& [zone, n] : seen) {
-    if (n.second < kZoneLeast) continue;
-    if (dark.count(zone) != 0 || n.first * 2 > n.second)
-      shut.insert(zone);
-    else if (n.first * 4 < n.second)
-      shut_until_.erase(zone);
-  }
-  // All of them at once: likelier the controllers' own trouble.
-  if (shut.size() == seen.size()) return;
-  for (const auto& zone : shut) {
-    double& until = shut_until_[zone];
-    if (until <= ctx_.now.steady)
-      ctx_.info("fleet", "zone {}: cut off, {} of {} machines silent; nothing is rented there",
-                zone, seen[zone].first, seen[zone].second);
-    until = ctx_.now.steady + ctx_.settings.platform.lease_s;
-  }
-}
-
 void Fleet::judge(const net::ViewMap& views, const std::set<int>& suspect_blocks) {
-  if (ctx_.now.steady >= next_room_) {
-    next_room_ = ctx_.now.steady + ctx_.settings.platform.report_s;
-    room_elsewhere_ = 0;
-    lower_elsewhere_.fill(0);
-    for (const auto& [name, v] : views) {
-      const Machine* m = replica_.machine(name);
-      if (m == nullptr || !v.up || v.silent) continue;
-      room_elsewhere_ += v.cpus_free;
-      for (size_t k = 0; k < lower_elsewhere_.size(); ++k)
-        lower_elsewhere_[k] += v.cpus_by_priority[k];
-    }
-  }
   for (const auto& [name, m] : replica_.machines) {
     if (to_drop_.count(name) != 0) continue;
     auto it = views.find(name);
@@ -574,7 +449,9 @@
         continue;
       }
     }
-    if (v.silent && suspect_blocks.count(m.block) == 0 && may_release_silent(name))
+    const bool leaving_already = releasing_.count(name) != 0;
+    if (v.silent && suspect_blocks.count(m.block) == 0 &&
+        (leaving_already || silent_machines_.may_release(m)))
       release(name, "silent");
     else if (v.bad)
       release(name, "fails every task");
@@ -835,7 +712,7 @@
       if (v->second.cpus_free > 0)
         out.push_back({&t, m.zone, m.spot, v->second.cpus_free, v->second.gpus_free,
                        v->second.memory_free, m.block});
-    } else if (ctx_.now.wall - m.rented < kLateBoot * t.boot_s) {
+    } else if (ctx_.now.wall - m.rented < core::kLateBoot * t.boot_s) {
       whole(t, m.zone, m.spot, m.block);
     }
   }
@@ -990,19 +867,14 @@
 }
 
 void Fleet::tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
-                 const std::set<int>& suspect_blocks, const DarkZones& dark_zones) {
+                 const std::set<int>& suspect_blocks, const UnreachableZones& unreachable) {
   if (!active_) return;
-  dark_to_holder_ = dark_zones.to_holder;
   const double now = ctx_.now.steady;
   limit_.refill(now);
-  std::erase_if(silent_since_, [&](const auto& s) {
-    auto v = views.find(s.first);
-    return v == views.end() || !v->second.silent;
-  });
   std::erase_if(gone_, [&](const auto& g) {
     return now - g.second > 4 * ctx_.settings.platform.cloud_list_lag_s + 30;
   });
-  watch_zones(views, dark_zones.to_most);
+  silent_machines_.observe(views, unreachable);
   judge(views, suspect_blocks);
   send_releases();
   fetch_catalog();
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -1,12 +1,12 @@
 // The leader's dealings with the cloud: sizing once a period, on-demand rentals, releases.
 #pragma once
 
-#include <array>
 #include <deque>
 #include <map>
 #include <set>
 
 #include "rooksill/cloud/codec.h"
+#include "rooksill/cloud/silent_machines.h"
 #include "rooksill/core/context.h"
 #include "rooksill/core/replica.h"
 #include "rooksill/net/peer_codec.h"
@@ -33,12 +33,6 @@
   uint32_t count = 0;
 };
 
-// Zones whose machines do not answer: the holder of a block, or most holders.
-struct DarkZones {
-  std::set<std::pair<int, std::string>> to_holder;
-  std::set<std::string> to_most;
-};
-
 class Fleet {
  public:
   Fleet(core::Context& ctx, core::Replica& replica, state::Committer& committer);
@@ -51,7 +45,7 @@
   // While leading.
   bool wants_waiting() const { return active_ && ctx_.now.steady >= next_on_demand_; }
   void tick(const net::ViewMap& views, const std::vector<Waiting>& waiting,
-            const std::set<int>& suspect_blocks, const DarkZones& dark_zones);
+            const std::set<int>& suspect_blocks, const UnreachableZones& unreachable);
   void sighted(const net::Sighting& s);
   const std::set<std::string>& draining() const { return drain_; }
   std::vector<net::Move> take_moves() { return std::exchange(moves_, {}); }
@@ -76,10 +70,6 @@
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
   void deal(const std::vector<std::string>& names, const Offer& offer, int block = -1);
   void write_machines();
-  void watch_zones(const net::ViewMap& views, const std::set<std::string>& dark);
-  bool may_release_silent(const std::string& name);
-  bool take_room_elsewhere(const core::MachineLoad& load);
-  bool can_leave(const core::Machine& m) const;
   void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
   void send_releases();
@@ -124,6 +114,7 @@
   core::Replica& replica_;
   state::Committer& committer_;
   state::RateLimit limit_;
+  SilentMachines silent_machines_;
   uint64_t term_ = 0, next_hire_ = 1;
   bool active_ = false;
   std::map<Pool, policy::Demand> demand_;
@@ -148,16 +139,10 @@
   std::string list_after_;                 // how far the list has been read
   std::set<std::pair<int, int>> writing_;  // block and page
   std::map<std::string, Zone> zones_;
-  std::map<std::string, double> shut_until_;  // zones that are cut off
   std::string last_moved_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
   double next_list_ = 0, next_catalog_ = 0, next_period_ = 0, last_tick_ = 0, next_measure_ = 0;
-  double next_on_demand_ = 0, next_move_ = 0, next_silent_release_ = 0;
-  int silent_left_ = 0;  // how many more may be released before that
-  std::map<std::string, double> silent_since_;
-  std::set<std::pair<int, std::string>> dark_to_holder_;
-  double room_elsewhere_ = 0, next_room_ = 0;  // cores free on machines that are heard
-  std::array<double, 4> lower_elsewhere_{};    // cores in use there, by priority
+  double next_on_demand_ = 0, next_move_ = 0;
 };
 
 }  // namespace rooksill::cloud
--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -154,7 +154,7 @@
               {"u", s.suspects_itself},
               {"f", s.meant_for},
               {"q", s.silent},
-              {"d", s.dark_zones}};
+              {"d", s.unreachable_zones}};
 }
 
 bool decode_life_sign(const json& v, LifeSign& s) try {
@@ -162,7 +162,7 @@
   s.suspects_itself = v.at("u");
   s.meant_for = v.at("f").get<std::vector<std::string>>();
   s.silent = v.at("q").get<std::vector<std::string>>();
-  s.dark_zones = v.at("d").get<std::vector<std::string>>();
+  s.unreachable_zones = v.at("d").get<std::vector<std::string>>();
   return true;
 } catch (const json::exception&) {
   return false;
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -171,7 +171,7 @@
   b.suspects_itself = holder_.suspects_itself();
   b.term = leader_.term();
   b.addresses = holder_.take_addresses();
-  b.dark_zones = holder_.dark_zones();
+  b.unreachable_zones = holder_.unreachable_zones();
   b.team_use = holder_.team_use();
   cancellations_.fill(b);
   peers_.broadcast(net::PeerKind::kBeat, net::pack(b));
@@ -203,7 +203,7 @@
   s.suspects_itself = holder_.suspects_itself();
   s.meant_for = owed;
   s.silent = holder_.silent_machines();
-  s.dark_zones = holder_.dark_zones();
+  s.unreachable_zones = holder_.unreachable_zones();
   const auto key = life_sign_key(ctx_.settings.platform.label);
   if (committer_.commit({}, {{key, encode_life_sign(s), 0}}, [](const state::TxnResult&) {})) {
     ctx_.count("life_signs");
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -184,7 +184,7 @@
 // go to others then, and with them whatever it could hear: it stays suspect until some machine
 // answers it again, or it would get them back at once, and hold and lose them by turns.
 void Holder::suspect(size_t silent, size_t up) {
-  const bool nearly_all = up >= 2 && (silent * 10 >= up * 8 || all_dark_);
+  const bool nearly_all = up >= 2 && (silent * 10 >= up * 8 || all_unreachable_);
   if (nearly_all && !suspects_itself_) {
     ctx_.info("holder", "{} of {} machines silent: suspecting this node", silent, up);
     suspects_itself_ = true;
@@ -194,7 +194,7 @@
   const double report = ctx_.settings.platform.report_s;
   if (!nearly_all && ctx_.now.steady - last_answer_ < report) {
     ctx_.info("holder", "machines answer: no longer suspecting this node");
-    suspects_itself_ = all_dark_ = false;
+    suspects_itself_ = all_unreachable_ = false;
     zone_checks_.clear();
     return;
   }
@@ -249,12 +249,12 @@
       z.dark = dark;
       z.judged = true;
       // All zones dark at once: this node is cut off, not they. It need not wait for silence.
-      all_dark_ = dark && std::all_of(workers_.begin(), workers_.end(), [&](const auto& w) {
-                    const Machine* m = replica_.machine(w.first);
-                    if (m == nullptr || !w.second.reported) return true;
-                    auto check = zone_checks_.find(m->zone);
-                    return check != zone_checks_.end() && check->second.dark;
-                  });
+      all_unreachable_ = dark && std::all_of(workers_.begin(), workers_.end(), [&](const auto& w) {
+                           const Machine* m = replica_.machine(w.first);
+                           if (m == nullptr || !w.second.reported) return true;
+                           auto check = zone_checks_.find(m->zone);
+                           return check != zone_checks_.end() && check->second.dark;
+                         });
     }
     if (z.dark && !workers_.empty()) check_zone(zone);
   }
@@ -268,7 +268,7 @@
   return out;
 }
 
-std::vector<std::string> Holder::dark_zones() const {
+std::vector<std::string> Holder::unreachable_zones() const {
   std::vector<std::string> out;
   for (const auto& [zone, z] : zone_checks_)
     if (z.dark) out.push_back(zone);
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -103,7 +103,7 @@
   bool holds(int block) const;
   bool suspects_itself() const { return suspects_itself_; }
   std::vector<std::string> silent_machines() const;
-  std::vector<std::string> dark_zones() const;  // cut off, as far as this node can see
+  std::vector<std::string> unreachable_zones() const;  // cut off, as far as this node can see
   bool backing_off(const std::string& job) const;
   std::optional<net::Sighting> take_sighting();
 
@@ -244,7 +244,7 @@
   double next_deal_ = 0;
   double last_answer_ = -1e9, next_test_ = 0;  // of any machine; when some are asked again
   size_t turn_ = 0;                            // of the views and addresses that are told again
-  bool all_dark_ = false;                      // no zone answered this node when it asked
+  bool all_unreachable_ = false;               // no zone answered this node when it asked
   bool suspects_itself_ = false, place_wanted_ = false;
 };
 
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -294,16 +294,16 @@
 }
 
 // Zones that holders find cut off. One inside such a zone sees it otherwise.
-cloud::DarkZones Leader::dark_zones() const {
+cloud::UnreachableZones Leader::unreachable_zones() const {
   std::set<std::string> holders;
   std::map<std::string, std::set<std::string>> votes;  // zone -> holders
-  cloud::DarkZones out;
+  cloud::UnreachableZones out;
   for (int b = 0; b < static_cast<int>(replica_.leases.size()); ++b) {
     const std::string& holder = replica_.leases[static_cast<size_t>(b)].holder;
     holders.insert(holder);
     const Peer* p = peers_.find(holder);
-    const auto dark = holder == ctx_.settings.platform.label ? holder_.dark_zones()
-                      : p != nullptr                         ? p->beat.dark_zones
+    const auto dark = holder == ctx_.settings.platform.label ? holder_.unreachable_zones()
+                      : p != nullptr                         ? p->beat.unreachable_zones
                                                              : std::vector<std::string>();
     for (const auto& zone : dark) {
       out.to_holder.insert({b, zone});
@@ -620,9 +620,9 @@
   }
   // Whom to rent for changes slowly beside the tick.
   if (fleet_.wants_waiting())
-    fleet_.tick(views, waiting(), suspect_blocks(), dark_zones());
+    fleet_.tick(views, waiting(), suspect_blocks(), unreachable_zones());
   else
-    fleet_.tick(views, {}, suspect_blocks(), dark_zones());
+    fleet_.tick(views, {}, suspect_blocks(), unreachable_zones());
   // Those that found no room are looked at again in turn: a part of them with each tick.
   std::set<std::string> turn;
   auto from = replica_.waiting_jobs.upper_bound(last_routed_);
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -36,7 +36,7 @@
   bool fit_to_hold(const std::string& label);
   uint64_t incarnation_of(const std::string& label) const;
   std::set<int> suspect_blocks();
-  cloud::DarkZones dark_zones() const;
+  cloud::UnreachableZones unreachable_zones() const;
   std::vector<cloud::Waiting> waiting();
   void finish_jobs();
   // Free room of one kind of machine in a block, by zone. Summed up from what holders say, and
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -109,15 +109,16 @@
 struct LifeSign {
   uint64_t stamp = 0, incarnation = 0;
   bool suspects_itself = false;
-  std::vector<std::string> meant_for;   // controllers that it does not hear, or that do not hear it
-  std::vector<std::string> silent;      // some of its silent machines
-  std::vector<std::string> dark_zones;  // whose machines it cannot reach
+  std::vector<std::string> meant_for;  // controllers that it does not hear, or that do not hear it
+  std::vector<std::string> silent;     // some of its silent machines
+  std::vector<std::string> unreachable_zones;  // whose machines it cannot reach
 };
 
 // What a task in a chunk or a machine in a list takes at most of a state value, in bytes: names are
 // at most 100 long. So neither a chunk nor a page of a list can outgrow its value.
 inline constexpr size_t kItemBytes = 128;
 inline constexpr size_t kMaxName = 100;
-inline constexpr int kTokenShift = 20;  // a holder raises tokens below its lease's
+inline constexpr double kLateBoot = 2.5;  // boot times after which a machine is not counted on
+inline constexpr int kTokenShift = 20;    // a holder raises tokens below its lease's
 
 }  // namespace rooksill::core
--- a/src/rooksill/core/peers.cc
+++ b/src/rooksill/core/peers.cc
@@ -81,7 +81,7 @@
     if (heard(label)) continue;
     p.beat.ready = p.beat.state_ok = true;
     p.beat.suspects_itself = s.suspects_itself;
-    p.beat.dark_zones = s.dark_zones;
+    p.beat.unreachable_zones = s.unreachable_zones;
   }
   signs_known_ = true;
 }
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -65,16 +65,16 @@
 
 struct Beat {
   bool ready = false, state_ok = false, suspects_itself = false;
-  uint64_t term = 0;                    // this node leads in this term; 0: it does not
-  std::vector<Address> addresses;       // lately learned, and some others in turn
-  std::vector<std::string> dark_zones;  // whose machines this node cannot reach
-  double state_age = 1e9;               // s since the state service last answered it
-  double said_at = -1e9;                // by the sender's steady clock
-  uint64_t cancelled = 0;               // cancellations that it has learned of, in all
-  std::vector<Heard> heard;             // one without these, of an older form, vouches for nothing
-  std::vector<TeamUse> team_use;        // of teams with a limit, in the blocks held
-  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, dark_zones, state_age,
-                       said_at, cancelled, heard, team_use)
+  uint64_t term = 0;                           // this node leads in this term; 0: it does not
+  std::vector<Address> addresses;              // lately learned, and some others in turn
+  std::vector<std::string> unreachable_zones;  // whose machines this node cannot reach
+  double state_age = 1e9;                      // s since the state service last answered it
+  double said_at = -1e9;                       // by the sender's steady clock
+  uint64_t cancelled = 0;                      // cancellations that it has learned of, in all
+  std::vector<Heard> heard;       // one without these, of an older form, vouches for nothing
+  std::vector<TeamUse> team_use;  // of teams with a limit, in the blocks held
+  MSGPACK_DEFINE_ARRAY(ready, state_ok, suspects_itself, term, addresses, unreachable_zones,
+                       state_age, said_at, cancelled, heard, team_use)
 };
 
 struct Update {
