--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -113,14 +113,14 @@
     if (!ids.insert(c.job.spec.id).second) break;  // the same id twice: the second one waits
     auto value = core::encode_job(c.job);
     bytes += value.dump().size() + 200;
-    if (bytes > 48 * 1024 && i > 0) break;
+    if (bytes > size_t{48} * 1024 && i > 0) break;
     guards.push_back({core::job_key(c.job.spec.id), 0});
     writes.push_back({core::job_key(c.job.spec.id), std::move(value), 0});
     group.push_back(c);
   }
   const size_t taken = group.size();
-  bool sent = committer_.commit(
-      std::move(guards), std::move(writes), [this, group](const state::TxnResult& result) {
+  bool sent =
+      committer_.commit(guards, std::move(writes), [this, group](const state::TxnResult& result) {
         --creating_;
         switch (result.outcome) {
           case Outcome::kApplied:
@@ -211,7 +211,7 @@
   std::vector<state::Guard> guards;
   for (const auto& p : group)
     if (ids.insert(p.id).second) guards.push_back({core::job_key(p.id), replica_.job(p.id)->stamp});
-  bool sent = client_.txn(std::move(guards), {}, [this, group](const state::TxnResult& r) {
+  bool sent = client_.txn(guards, {}, [this, group](const state::TxnResult& r) {
     --checking_;
     if (r.outcome == Outcome::kApplied) {
       for (const auto& p : group) answer(p.request, p.id);
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -520,7 +520,8 @@
 }
 
 void Fleet::keep_zone_floors() {
-  for (const auto& [zone, z] : zones_) {
+  for (const auto& [name_of_zone, z] : zones_) {
+    const std::string& zone = name_of_zone;
     if (z.floor <= 0 || z.room >= z.floor) continue;
     // A machine that was to be given back is kept first.
     auto kept = std::find_if(drain_.begin(), drain_.end(), [&](const std::string& name) {
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -530,7 +530,8 @@
   trouble.failures =
       std::max(trouble.failures + 1, static_cast<int>(std::min<uint64_t>(attempt, 1000)));
   const double report = ctx_.settings.platform.report_s;
-  if (static_cast<int>(trouble.machines.size()) >= kSuspectJob || attempt >= 2 * kSuspectJob) {
+  if (static_cast<int>(trouble.machines.size()) >= kSuspectJob ||
+      attempt >= uint64_t{2} * kSuspectJob) {
     const double wait = std::min(kMaxBackoffReports, 0.5 * trouble.failures) * report;
     trouble.retry_at = ctx_.now.steady + wait;
     ctx_.info("holder", "job {} failed on {} machines: next try in {:.1f} s", job,
@@ -728,7 +729,7 @@
   for (auto q = queue_.begin(); q != queue_.end();) {
     const auto [rank, since] = q->first;
     const ChunkId id = q->second;
-    if (!may_add(rank) || writes.size() + 2 > most || bytes > 40 * 1024) break;
+    if (!may_add(rank) || writes.size() + 2 > most || bytes > size_t{40} * 1024) break;
     if (rank == kGathered && ctx_.now.steady - since < gather) break;
     ++q;
     ChunkWork& work = work_[id];
@@ -811,8 +812,9 @@
   }
   if (chunks.empty()) return;
   std::vector<state::Guard> guard_list;
+  guard_list.reserve(guards.size());
   for (const auto& [k, s] : guards) guard_list.push_back({k, s});
-  bool sent = committer_.commit(std::move(guard_list), std::move(writes),
+  bool sent = committer_.commit(guard_list, std::move(writes),
                                 [this, chunks, keys](const state::TxnResult& r) {
                                   --in_flight_;
                                   settle(chunks, r, keys);
--- a/src/rooksill/core/limit_balancer.cc
+++ b/src/rooksill/core/limit_balancer.cc
@@ -81,7 +81,8 @@
 
 std::vector<net::LimitTransfer> LimitBalancer::decide(const std::vector<bool>& can_give) {
   std::vector<net::LimitTransfer> out;
-  for (const auto& [team, s] : std::exchange(shortages_, {})) {
+  for (const auto& [team, shortage] : std::exchange(shortages_, {})) {
+    const Shortage& s = shortage;
     double& next = next_[team];
     if (ctx_.now.steady < next || !valid_limit_key(team)) continue;
     auto worth = [&](int b) {
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -130,7 +130,7 @@
       std::map<std::string, Machine> fresh;
       if (stamp <= block[static_cast<size_t>(page)].stamp || !decode_machines(value, fresh))
         return false;
-      apply_machines(b, page, std::move(fresh), stamp);
+      apply_machines(b, page, fresh, stamp);
       return true;
     }
     case 'n': {
@@ -281,7 +281,7 @@
   touched_jobs.insert(j.spec.id);
 }
 
-void Replica::apply_machines(int block, int page, std::map<std::string, Machine> fresh,
+void Replica::apply_machines(int block, int page, const std::map<std::string, Machine>& fresh,
                              uint64_t stamp) {
   MachinePage& p = pages[static_cast<size_t>(block)][static_cast<size_t>(page)];
   p.stamp = stamp;
@@ -292,11 +292,12 @@
       changed.push_back(name);
     }
   p.names.clear();
-  for (auto& [name, m] : fresh) {
+  for (const auto& [name, listed] : fresh) {
+    Machine m = listed;
     m.block = block;
     m.page = page;
     p.names.insert(name);
-    if (machines.emplace(name, m).second) changed.push_back(name);
+    if (machines.emplace(name, std::move(m)).second) changed.push_back(name);
   }
   for (const auto& name : changed) {
     touched_machines.insert(name);
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -98,7 +98,8 @@
   void note_end(Job& job, JobEnd end);
   void touch(const Job& job);
   void apply_chunk(Job& job, uint32_t index, std::vector<TaskState> tasks, uint64_t stamp);
-  void apply_machines(int block, int page, std::map<std::string, Machine> fresh, uint64_t stamp);
+  void apply_machines(int block, int page, const std::map<std::string, Machine>& fresh,
+                      uint64_t stamp);
   void put_on(const Job& job, const TaskRef& ref, const std::string& machine);
   void take_off(const Job& job, const TaskRef& ref, const std::string& machine);
   Job* chunk_of(const std::string& name, uint32_t& index);
--- a/src/rooksill/net/http_client.cc
+++ b/src/rooksill/net/http_client.cc
@@ -8,8 +8,8 @@
 namespace rooksill::net {
 
 namespace {
-constexpr size_t kMaxHead = 16 * 1024;
-constexpr size_t kMaxBody = 16 * 1024 * 1024;  // a watch has no size limit
+constexpr size_t kMaxHead = size_t{16} * 1024;
+constexpr size_t kMaxBody = size_t{16} * 1024 * 1024;  // a watch has no size limit
 constexpr size_t kIdlePerHost = 8;
 constexpr double kIdle = 30;
 }  // namespace
--- a/src/rooksill/net/http_server.cc
+++ b/src/rooksill/net/http_server.cc
@@ -12,11 +12,11 @@
 namespace rooksill::net {
 
 namespace {
-constexpr size_t kMaxHead = 16 * 1024;
-constexpr size_t kMaxBody = 64 * 1024;  // the protocol's limit of a request
-constexpr double kSlowRequest = 10;     // a request half sent for longer is given up
-constexpr double kIdle = 120;           // a connection without requests for longer is closed
-constexpr size_t kMaxOut = 1024 * 1024;
+constexpr size_t kMaxHead = size_t{16} * 1024;
+constexpr size_t kMaxBody = size_t{64} * 1024;  // the protocol's limit of a request
+constexpr double kSlowRequest = 10;             // a request half sent for longer is given up
+constexpr double kIdle = 120;  // a connection without requests for longer is closed
+constexpr size_t kMaxOut = size_t{1024} * 1024;
 constexpr double kCrowded = 0.8;  // part of the room for connections past which none is kept
 
 const char* reason(int status) {
--- a/src/rooksill/net/peer_net.cc
+++ b/src/rooksill/net/peer_net.cc
@@ -7,8 +7,8 @@
 namespace rooksill::net {
 
 namespace {
-constexpr size_t kMaxFrame = 1024 * 1024;
-constexpr size_t kMaxQueued = 2 * 1024 * 1024;
+constexpr size_t kMaxFrame = size_t{1024} * 1024;
+constexpr size_t kMaxQueued = size_t{2} * 1024 * 1024;
 constexpr size_t kMaxIncoming = 64;
 constexpr double kReconnect = 0.2;
 constexpr double kConnectPatience = 1.0;
@@ -48,13 +48,12 @@
   reconnect_ = std::make_unique<Timer>(loop_, kReconnect, kReconnect, [this] {
     const double now = ev_now(loop_);
     for (auto& [label, o] : out_) {
-      if (!o->socket.open()) {
+      const bool late = !o->connected && now - o->since > kConnectPatience;
+      const bool stuck = o->connected && !o->queue.empty() && now - o->progress > kStuck;
+      if (!o->socket.open())
         connect(*o);
-      } else if (!o->connected && now - o->since > kConnectPatience) {
+      else if (late || stuck)
         close(*o);
-      } else if (o->connected && !o->queue.empty() && now - o->progress > kStuck) {
-        close(*o);
-      }
     }
   });
 }
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -77,7 +77,7 @@
   });
 }
 
-bool Client::txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done) {
+bool Client::txn(const std::vector<Guard>& guards, std::vector<Write> writes, TxnDone done) {
   const double puts = static_cast<double>(writes.size());
   if (!room_for(puts, 0)) return false;
   requests_.take(1);
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -80,7 +80,7 @@
   void keep(double writes) { kept_ = writes; }
   double kept() const { return kept_; }
   // False when the limits leave no room just now; nothing was sent then.
-  bool txn(std::vector<Guard> guards, std::vector<Write> writes, TxnDone done);
+  bool txn(const std::vector<Guard>& guards, std::vector<Write> writes, TxnDone done);
   bool read(const std::string& key, ReadDone done);
   bool raw(const std::string& method, const std::string& path, const std::string& body,
            double timeout_s, core::CallHandler done);
--- a/src/rooksill/state/committer.cc
+++ b/src/rooksill/state/committer.cc
@@ -8,9 +8,10 @@
 constexpr double kRetry = 0.2;
 }
 
-bool Committer::commit(std::vector<Guard> guards, std::vector<Write> writes, Client::TxnDone done) {
+bool Committer::commit(const std::vector<Guard>& guards, std::vector<Write> writes,
+                       Client::TxnDone done) {
   std::vector<Write> copy = writes;
-  return client_.txn(std::move(guards), std::move(writes),
+  return client_.txn(guards, std::move(writes),
                      [this, copy = std::move(copy), done = std::move(done)](const TxnResult& r) {
                        if (r.outcome == Outcome::kApplied) {
                          for (const auto& w : copy) {
--- a/src/rooksill/state/committer.h
+++ b/src/rooksill/state/committer.h
@@ -14,7 +14,7 @@
       : ctx_(ctx), replica_(replica), client_(client) {}
 
   // As Client::txn; what was applied is in the replica before `done` runs.
-  bool commit(std::vector<Guard> guards, std::vector<Write> writes, Client::TxnDone done);
+  bool commit(const std::vector<Guard>& guards, std::vector<Write> writes, Client::TxnDone done);
 
   // Reads keys back until each is answered; then runs `done`. Used after an unknown outcome and
   // after a conflict: nothing is decided about these keys in the meantime.
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -279,8 +279,7 @@
     } else if (verb == "odd_requests") {
       world().odd_requests(for_s);
     } else if (verb == "expect") {
-      Line rest = l;
-      expect(rest);
+      expect(l);
     } else {
       fail(l, "unknown act " + verb);
     }
--- a/tests/standins/state_service.cc
+++ b/tests/standins/state_service.cc
@@ -168,7 +168,7 @@
   const json& g = j["guards"];
   if (w.size() > txn_ops_) broken.push_back("transaction with too many writes");
   if (g.size() > 4 * txn_ops_) broken.push_back("transaction with too many guards");
-  if (body.size() > 64 * 1024) broken.push_back("transaction too large");
+  if (body.size() > size_t{64} * 1024) broken.push_back("transaction too large");
   if (write_tokens_ < static_cast<double>(w.size())) {
     ++refused;
     return {429, "{}"};
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -218,7 +218,7 @@
     when += late_command_s_ * chance(rng_);
   const std::string name = machine != nullptr ? machine->worker->name : "";
   at(when, [this, c, finish, lost, name, node] {
-    auto back = [this, finish, lost](Answer a) {
+    auto back = [this, finish, lost](const Answer& a) {
       if (lost) return;
       at(now_ + latency(), [finish, a] { finish(a.status, a.body, false); });
     };
@@ -254,13 +254,13 @@
 
 void World::ask(int node, const std::string& method, const std::string& target,
                 const std::string& body, double timeout_s,
-                std::function<void(int, std::string, double)> f) {
+                std::function<void(int, const std::string&, double)> f) {
   Node& n = nodes_[static_cast<size_t>(node)];
   auto answered = std::make_shared<bool>(false);
-  auto finish = [answered, f = std::move(f)](int status, std::string text, double retry) {
+  auto finish = [answered, f = std::move(f)](int status, const std::string& text, double retry) {
     if (*answered) return;
     *answered = true;
-    f(status, std::move(text), retry);
+    f(status, text, retry);
   };
   if (!n.core) {
     at(now_ + 0.001, [finish] { finish(0, "", 0); });
@@ -387,7 +387,7 @@
   std::uniform_real_distribution<double> chance(0, 1);
   if (chance(rng_) < copy_chance_)
     at(now_ + copy_s_ * chance(rng_), [this, body, to = static_cast<int>(rng_() % nodes_.size())] {
-      ask(to, "POST", "/agent/beat", body, 4, [](int, std::string, double) {});
+      ask(to, "POST", "/agent/beat", body, 4, [](int, const std::string&, double) {});
     });
   if (m.mute_until > now_) return at(now_ + 0.001, [heard] { heard(0, ""); });
   double until = 0;
@@ -402,12 +402,12 @@
     // Held packets arrive after the cut, when the worker has long given up.
     if (held_until > 0)
       at(held_until + latency(), [this, node, body] {
-        ask(node, "POST", "/agent/beat", body, 4, [](int, std::string, double) {});
+        ask(node, "POST", "/agent/beat", body, 4, [](int, const std::string&, double) {});
       });
     return;
   }
   ask(node, "POST", "/agent/beat", body, 4,
-      [this, heard, name, node](int status, std::string text, double) {
+      [this, heard, name, node](int status, const std::string& text, double) {
         auto it = machines_.find(name);
         if (it == machines_.end()) return;
         if ((it->second.cut_until > now_ && !on_island(node, it->second)) ||
@@ -444,7 +444,7 @@
   const int node = pick_node();
   if (node < 0) return at(now_ + 1, [this, id] { try_submit(id); });
   ask(node, "POST", "/api/jobs", j.body.dump(), 5,
-      [this, id, over = !j.told.empty()](int status, std::string body, double retry) {
+      [this, id, over = !j.told.empty()](int status, const std::string& body, double retry) {
         UserJob& x = jobs_[id];
         x.status = status;
         if (status == 400 || status == 422) {
@@ -484,7 +484,7 @@
   const int node = static_cast<int>(rng_() % nodes_.size());
   const bool over = !j.told.empty();
   ask(node, "GET", "/api/jobs/" + id, "", 2,
-      [this, id, over](int status, std::string body, double) {
+      [this, id, over](int status, const std::string& body, double) {
         // An answer is older only if the question came after what was told.
         if (over || jobs_[id].told.empty()) hear(jobs_[id], status, body, true);
       });
@@ -500,7 +500,7 @@
   const int node = pick_node();
   if (node < 0) return at(now_ + 1, [this, id] { try_cancel(id); });
   ask(node, "POST", "/api/jobs/" + id + "/cancel", "", 5,
-      [this, id](int status, std::string body, double retry) {
+      [this, id](int status, const std::string& body, double retry) {
         if (status == 200) return hear(jobs_[id], status, body, false);
         at(now_ + std::max(1.0, retry), [this, id] { try_cancel(id); });
       });
@@ -714,7 +714,7 @@
     if (rng_() % 2 == 0) body["cores"] = 1e6;  // a repeat that differs is a repeat all the same
     const bool over = !j.told.empty();
     ask(node, "POST", "/api/jobs", body.dump(), 5,
-        [this, id, over](int status, std::string text, double) {
+        [this, id, over](int status, const std::string& text, double) {
           UserJob& x = jobs_[id];
           if (status == 201 || status == 400 || status == 422)
             return violate("forgotten: a repeat of " + id + " answered " + std::to_string(status));
@@ -722,7 +722,7 @@
         });
   } else if (kind == 1 && j.told == "done") {
     ask(node, "POST", "/api/jobs/" + id + "/cancel", "", 5,
-        [this, id](int status, std::string text, double) {
+        [this, id](int status, const std::string& text, double) {
           if (status == 404) violate("forgotten: " + id);
           if (status == 200) hear(jobs_[id], status, text, false);
         });
@@ -730,7 +730,7 @@
     const std::string unknown = "wk-9" + std::to_string(10000 + odd_++);
     const bool cancels = rng_() % 2 == 0;
     ask(node, cancels ? "POST" : "GET", "/api/jobs/" + unknown + (cancels ? "/cancel" : ""), "", 5,
-        [this, unknown](int status, std::string, double) {
+        [this, unknown](int status, const std::string&, double) {
           if (status == 200) violate("invented: " + unknown);
         });
   } else if (kind == 3) {
@@ -753,7 +753,7 @@
         wanted = 400;
     }
     ask(node, "POST", "/api/jobs", body.dump(), 5,
-        [this, wanted, text = body.dump()](int status, std::string, double retry) {
+        [this, wanted, text = body.dump()](int status, const std::string&, double retry) {
           if (status != wanted && status != 0 && (status != 503 || retry <= 0))
             violate("answered " + std::to_string(status) + " to " + text);
         });
@@ -793,14 +793,16 @@
     for (const auto& [machine, attempt] : where) ++zones[key.job][cloud_.machines[machine].zone];
   }
   std::map<std::string, double> since;
-  for (const auto& [id, j] : jobs_) {
+  for (const auto& entry : jobs_) {
+    const std::string& id = entry.first;
+    const UserJob& j = entry.second;
     if (!j.accepted || !j.told.empty() || j.cancel_asked || j.together || j.truth.fails) continue;
     int left = j.truth.tasks - on[id];
     for (int i = 0; i < j.truth.tasks; ++i) left -= completed_.count({id, i}) != 0 ? 1 : 0;
     const double max = teams_[j.team].second;
     if (left <= 0 || (max > 0 && used[j.team] + j.truth.cpus > max)) continue;
-    const bool room = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
-      const Worker& w = *entry.second.worker;
+    const bool room = std::any_of(machines_.begin(), machines_.end(), [&](const auto& machine) {
+      const Worker& w = *machine.second.worker;
       return !w.dead && !w.faulty && !w.taken_at && now_ - w.booted_at() > kPatience &&
              (!w.spot || j.spot) && (j.zone.empty() || j.zone == w.zone) &&
              (j.types.empty() ||
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -140,7 +140,8 @@
   void call(int node, const rooksill::core::Call& c);
   void deliver_after_hang(const rooksill::core::Call& c, const std::string& name);
   void ask(int node, const std::string& method, const std::string& target, const std::string& body,
-           double timeout_s, std::function<void(int status, std::string body, double retry)> f);
+           double timeout_s,
+           std::function<void(int status, const std::string& body, double retry)> f);
   bool cut_off(int node, const std::string& side, double& until, bool& hold) const;
   bool on_island(int node, const Machine& m) const;
   double latency();
