One piece for what stood twice: a job's tasks by zone, machines on their way out, faults for a while

Read over once more; no behaviour changes. The count of a job's tasks by zone, written again with the move of silent machines, is Replica::tasks_by_zone, and a spread job's most in one zone, which stood six times, JobSpec::most_in_zone. Fleet::judge passes over machines on their way out by leaving(), in place of a check of its own beside it. Seven faults of the stand-ins that last a while share set_for. A line of Holder::take_report that could never apply (session and report flag were set just before it) is gone.

--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -436,7 +436,7 @@
 
 void Fleet::judge(const net::ViewMap& views, const std::set<int>& suspect_blocks) {
   for (const auto& [name, m] : replica_.machines) {
-    if (to_drop_.count(name) != 0) continue;
+    if (leaving(name)) continue;
     auto it = views.find(name);
     if (it == views.end()) continue;  // its holder says nothing: nothing is known
     const auto& v = it->second;
@@ -449,9 +449,7 @@
         continue;
       }
     }
-    const bool leaving_already = releasing_.count(name) != 0;
-    if (v.silent && suspect_blocks.count(m.block) == 0 &&
-        (leaving_already || silent_machines_.may_release(m)))
+    if (v.silent && suspect_blocks.count(m.block) == 0 && silent_machines_.may_release(m))
       release(name, "silent");
     else if (v.bad)
       release(name, "fails every task");
@@ -647,10 +645,7 @@
   const JobSpec& s = job.spec;
   std::map<std::string, uint32_t> zones;
   if (s.spread) {
-    for (const auto& c : job.chunks)
-      for (const auto& t : c.tasks)
-        if (const Machine* m = t.machine.empty() ? nullptr : replica_.machine(t.machine))
-          ++zones[m->zone];
+    zones = replica_.tasks_by_zone(job);
     --zones[from.zone];
   }
   for (const auto& [target, v] : views) {
@@ -662,7 +657,7 @@
     if (to->spot && !s.spot) continue;
     if (!s.zone.empty() && to->zone != s.zone) continue;
     if (s.one_zone && to->zone != from.zone) continue;
-    if (s.spread && zones[to->zone] >= (s.tasks + 1) / 2) continue;
+    if (s.spread && zones[to->zone] >= s.most_in_zone()) continue;
     if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
       continue;
     if (std::find(v.images.begin(), v.images.end(), s.image) != v.images.end()) return true;
@@ -760,7 +755,7 @@
     auto zone_left = [&](const std::string& zone) -> uint32_t {
       if (!only_zone.empty() && zone != only_zone) return 0;
       if (!s.spread) return s.tasks;
-      const uint32_t most_there = (s.tasks + 1) / 2;
+      const uint32_t most_there = s.most_in_zone();
       return most_there - std::min(zones[zone], most_there);
     };
     auto allowed_type = [&](const std::string& name) {
--- a/src/rooksill/cloud/silent_machines.cc
+++ b/src/rooksill/cloud/silent_machines.cc
@@ -134,13 +134,9 @@
     const JobSpec& s = job.spec;
     if (s.shape != core::Shape::kService || job.over() || s.one_zone || !s.zone.empty()) continue;
     if (!s.spread) return true;
-    std::map<std::string, uint32_t> zones;
-    for (const auto& c : job.chunks)
-      for (const auto& t : c.tasks)
-        if (const Machine* at = t.machine.empty() ? nullptr : replica_.machine(t.machine))
-          ++zones[at->zone];
+    auto zones = replica_.tasks_by_zone(job);
     for (const auto& zone : all_zones)
-      if (zone != machine.zone && zones[zone] < (s.tasks + 1) / 2) return true;
+      if (zone != machine.zone && zones[zone] < s.most_in_zone()) return true;
   }
   return false;
 }
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -391,7 +391,6 @@
   const auto& s = ctx_.settings;
   if (quiet_for(w) > s.operators.machine_silence_reports * s.platform.report_s)
     w.heard_since = ctx_.now.steady;
-  if (!w.reported || r.session != w.session) w.lease_ends = ctx_.now.steady + s.platform.lease_s;
   w.last_heard = last_answer_ = ctx_.now.steady;
   w.probe_failed = false;
   w.failed_probes = 0;
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -376,7 +376,7 @@
   }
   const Chunk& c = job.chunks[chunk];
   const double wanted = static_cast<double>(c.tasks.size()) - c.done - c.placed;
-  const uint32_t most_in_zone = (s.tasks + 1) / 2;
+  const uint32_t most_in_zone = s.most_in_zone();
   auto usable = [&](const Pool& p) {
     if (p.spot && !s.spot) return false;
     if (!only_zone.empty() && p.zone != only_zone) return false;
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -24,6 +24,8 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  // Of a spread job's tasks: half of them, rounded up.
+  uint32_t most_in_zone() const { return (tasks + 1) / 2; }
 };
 
 struct MachineType {
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -55,6 +55,14 @@
   return it == loads_.end() ? kNone : it->second;
 }
 
+std::map<std::string, uint32_t> Replica::tasks_by_zone(const Job& job) const {
+  std::map<std::string, uint32_t> out;
+  for (const auto& c : job.chunks)
+    for (const auto& t : c.tasks)
+      if (const Machine* m = t.machine.empty() ? nullptr : machine(t.machine)) ++out[m->zone];
+  return out;
+}
+
 int Replica::image_number(const std::string& image) {
   auto [it, fresh] = image_numbers_.emplace(image, static_cast<int>(image_names_.size()) + 1);
   if (fresh) image_names_.push_back(image);
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -59,6 +59,8 @@
   // dealt after them would look gone. All changes up to `synced_epoch` are known, and a task's
   // machine was listed before the task's chunk was written.
   bool lists_cover(const Chunk& chunk) const { return synced_epoch >= chunk.stamp; }
+  // How many of a job's tasks are on listed machines of each zone.
+  std::map<std::string, uint32_t> tasks_by_zone(const Job& job) const;
   uint32_t unplaced(const Job& job) const { return job.spec.tasks - job.done - job.placed; }
   bool machine_gone(const std::string& name) const { return machines.count(name) == 0; }
   int image_number(const std::string& image);
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -238,7 +238,7 @@
   const double stop = s.priority >= Priority::kUrgent ? 1 : kOrdinaryStop;
   auto usable = [&](const Worker& w) {
     if (!allowed(s, w) || (!only_zone.empty() && w.room.zone != only_zone)) return false;
-    if (s.spread && in_zone[w.room.zone] >= (s.tasks + 1) / 2) return false;
+    if (s.spread && in_zone[w.room.zone] >= s.most_in_zone()) return false;
     if (only_cached && !w.has_image(job.image)) return false;
     return within_limit(s, w.room.block);
   };
@@ -479,7 +479,7 @@
     }
   }
   if (s.shape == Shape::kGang && !fits_whole(job, workers, only_zone)) return;
-  const uint32_t most_in_zone = (s.tasks + 1) / 2;
+  const uint32_t most_in_zone = s.most_in_zone();
   auto zone_left = [&](const std::string& zone) {
     if (!only_zone.empty() && zone != only_zone) return uint32_t{0};
     if (!s.spread) return s.tasks;
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -593,11 +593,16 @@
   });
 }
 
+// A trouble that is there for a while, and gone again.
+void World::set_for(double& trouble, double value, double for_s) {
+  trouble = value;
+  at(now_ + for_s, [&trouble] { trouble = 0; });
+}
+
 void World::late_copies(double chance, double late_s, double for_s) {
   trouble(for_s + late_s);
-  copy_chance_ = chance;
   copy_s_ = late_s;
-  at(now_ + for_s, [this] { copy_chance_ = 0; });
+  set_for(copy_chance_, chance, for_s);
 }
 
 void World::machine_hang(int count, double for_s) {
@@ -626,35 +631,30 @@
 
 void World::lose_answers(double chance, double for_s) {
   trouble(for_s);
-  lose_chance_ = chance;
-  at(now_ + for_s, [this] { lose_chance_ = 0; });
+  set_for(lose_chance_, chance, for_s);
 }
 
 void World::late_requests(double chance, double late_s, double for_s) {
   trouble(for_s + late_s);
-  late_chance_ = chance;
   late_s_ = late_s;
-  at(now_ + for_s, [this] { late_chance_ = 0; });
+  set_for(late_chance_, chance, for_s);
 }
 
 void World::late_writes(double chance, double late_s, double for_s) {
   trouble(for_s + late_s);
-  late_write_chance_ = chance;
   late_write_s_ = std::max(1.0, late_s);
-  at(now_ + for_s, [this] { late_write_chance_ = 0; });
+  set_for(late_write_chance_, chance, for_s);
 }
 
 void World::late_commands(double chance, double late_s, double for_s) {
   trouble(for_s + late_s);
-  late_command_chance_ = chance;
   late_command_s_ = late_s;
-  at(now_ + for_s, [this] { late_command_chance_ = 0; });
+  set_for(late_command_chance_, chance, for_s);
 }
 
 void World::slow_state(double by_s, double for_s) {
   trouble(for_s);
-  slow_s_ = by_s;
-  at(now_ + for_s, [this] { slow_s_ = 0; });
+  set_for(slow_s_, by_s, for_s);
 }
 
 void World::machine_mute(int count, double for_s, const std::string& zone) {
@@ -686,10 +686,7 @@
   for (const auto& name : hung) hang(machines_[name], hang_s);
 }
 
-void World::cancel_at_end(double chance, double for_s) {
-  end_chance_ = chance;
-  at(now_ + for_s, [this] { end_chance_ = 0; });
-}
+void World::cancel_at_end(double chance, double for_s) { set_for(end_chance_, chance, for_s); }
 
 void World::odd_requests(double for_s) {
   const bool going = odd_until_ > now_;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -158,6 +158,7 @@
   bool can_run(const UserJob& j) const;  // whole, of a team, within its limit, and fits a machine
   void check_waiting();
   void odd_request();
+  void set_for(double& trouble, double value, double for_s);
   void strike(int count, const std::function<bool(Machine&)>& one);
   void hang(Machine& m, double for_s);
 
