--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -4,6 +4,7 @@
 
 #include "rooksill/api/codec.h"
 #include "rooksill/core/codec.h"
+#include "rooksill/core/upgrade.h"
 
 namespace rooksill::api {
 
@@ -53,6 +54,12 @@
   auto team = ctx_.settings.platform.teams.find(s.team);
   if (team == ctx_.settings.platform.teams.end()) return "unknown team";
   const double count = s.shape == core::Shape::kArray ? 1 : s.tasks;
+  if (s.shape == core::Shape::kGang) {
+    const auto& p = ctx_.settings.platform;
+    if (p.gang_wait_s <= 0 || p.gang_peer_s <= 0) return "workers here run no gangs";
+    // All tasks of an attempt are placed with one change of one value.
+    if (s.tasks > replica_.tasks_per_chunk()) return "more tasks than can be started at once";
+  }
   const auto& limit = team->second;
   if (limit.cpus_max > 0 && s.cpus * count > limit.cpus_max) return "more than the team's limit";
   if (limit.gpus_max > 0 && s.gpus * count > limit.gpus_max) return "more than the team's limit";
@@ -73,14 +80,15 @@
   // A retry of an accepted job is answered with its state, whatever else would be said of it.
   if (replica_.job(spec->id) != nullptr) return poll(r.id, spec->id);
   if (!replica_.synced || replica_.types.empty()) return later(r.id);
-  if (std::string why = unrunnable(*spec); !why.empty())
-    return ctx_.reply(r.id, 422, encode_error(why));
+  if (std::string why = unrunnable(*spec); !why.empty()) return refuse(r.id, spec->id, why);
+  // Controllers of the version before would start a gang's tasks one by one.
+  if (spec->shape == core::Shape::kGang && !core::Upgrade::complete(replica_)) return later(r.id);
   Creation c;
   c.request = r.id;
   c.since = ctx_.now.steady;
   c.job.submitted = ctx_.now.wall;
   c.job.spec = std::move(*spec);
-  c.job.chunk_tasks = replica_.items_per_value();
+  c.job.chunk_tasks = replica_.tasks_per_chunk();
   if (core::encode_job(c.job).dump().size() > ctx_.settings.platform.state_value_bytes * 9 / 10)
     return ctx_.reply(r.id, 400, encode_error("builds: too long"));
   const auto bound = static_cast<size_t>(ctx_.settings.platform.state_write_rps * 2);
@@ -88,6 +96,18 @@
   creations_.push_back(std::move(c));
 }
 
+// A job that can never run. Under its id another node may have accepted a job a moment ago that is
+// not known here yet: a repeat of that one is answered with its state, however it reads.
+void Users::refuse(uint64_t request, const std::string& id, const std::string& why) {
+  const bool sent = client_.read(core::job_key(id), [=, this](const state::ReadResult& r) {
+    if (!r.answered) return later(request);
+    if (!r.found) return ctx_.reply(request, 422, encode_error(why));
+    replica_.apply(core::job_key(id), r.value, r.stamp);
+    poll(request, id);
+  });
+  if (!sent) later(request);
+}
+
 // Between two transactions of a kind, so that together they take no more than their share.
 double Users::pause(double share) const {
   const auto& p = ctx_.settings.platform;
@@ -143,6 +163,7 @@
             break;
           case Outcome::kRefused:
           case Outcome::kNoLease:
+          case Outcome::kTooLarge:
             for (const auto& c : group) later(c.request);
             break;
           case Outcome::kUnknown:
@@ -244,6 +265,9 @@
   ended.submitted = job->submitted;
   ended.chunk_tasks = job->chunk_tasks;
   ended.end = JobEnd::kCancelled;
+  // A record from before the state service lowered its limits; its types are of no more use.
+  if (core::encode_job(ended).dump().size() > ctx_.settings.platform.state_value_bytes)
+    ended.spec.types.clear();
   bool sent = committer_.commit(
       {{core::job_key(id), job->stamp}}, {{core::job_key(id), core::encode_job(ended), 0}},
       [this, request, id, tries](const state::TxnResult& r) {
@@ -263,6 +287,7 @@
             });
           case Outcome::kRefused:
           case Outcome::kNoLease:
+          case Outcome::kTooLarge:
             return later(request);
         }
       });
--- a/src/rooksill/api/users.h
+++ b/src/rooksill/api/users.h
@@ -35,6 +35,7 @@
   };
 
   void submit(const core::Request& request);
+  void refuse(uint64_t request, const std::string& id, const std::string& why);
   void poll(uint64_t request, const std::string& id);
   void cancel(uint64_t request, const std::string& id, int tries);
   void answer(uint64_t request, const std::string& id);
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "rooksill/core/codec.h"
+#include "rooksill/core/upgrade.h"
 #include "rooksill/placement/limit_shares.h"
 #include "rooksill/policy/sizing.h"
 
@@ -341,7 +342,7 @@
     if (used.size() <= static_cast<size_t>(m.page)) used.resize(static_cast<size_t>(m.page) + 1);
     ++used[static_cast<size_t>(m.page)];
   }
-  const size_t most = replica_.items_per_value();
+  const size_t most = replica_.machines_per_page();
   const auto free = std::find_if(used.begin(), used.end(), [&](size_t n) { return n < most; });
   return static_cast<int>(free - used.begin());
 }
@@ -376,37 +377,81 @@
     if (replica_.machine(n) == nullptr) changed.insert({m.block, m.page});
   for (const auto& n : to_drop_)
     if (const Machine* m = replica_.machine(n)) changed.insert({m->block, m->page});
-  for (const auto& at : changed) {
-    if (writing_.count(at) != 0) continue;
-    const auto [b, page] = at;
-    const auto& pages = replica_.pages[static_cast<size_t>(b)];
-    std::map<std::string, Machine> listed;
-    uint64_t stamp = 0;
-    if (static_cast<size_t>(page) < pages.size()) {
-      const auto& known = pages[static_cast<size_t>(page)];
-      stamp = known.stamp;
-      for (const auto& n : known.names) listed.emplace(n, *replica_.machine(n));
-    }
-    for (const auto& n : to_drop_) listed.erase(n);
-    for (const auto& [n, m] : to_deal_)
-      if (m.block == b && m.page == page && listed.size() < replica_.items_per_value())
-        listed.emplace(n, m);
-    auto key = core::machines_key(b, page);
-    bool sent = committer_.commit(
-        {{core::kLeaderKey, replica_.leader.stamp}, {key, stamp}},
-        {{key, core::encode_machines(listed), 0}}, [this, at, key](const state::TxnResult& r) {
-          if (r.outcome == Outcome::kConflict || r.outcome == Outcome::kUnknown) {
-            committer_.refresh({key}, [this, at] { writing_.erase(at); });
-            return;
-          }
-          writing_.erase(at);
-        });
-    if (sent) writing_.insert(at);
-  }
+  // Pages from before a lowered limit are split as soon as every controller knows of splits: the
+  // state service will not take another change of them one day.
+  if (core::Upgrade::complete(replica_))
+    for (size_t b = 0; b < replica_.pages.size(); ++b)
+      for (size_t p = 0; p < replica_.pages[b].size(); ++p)
+        if (replica_.pages[b][p].names.size() > replica_.machines_per_page())
+          changed.insert({static_cast<int>(b), static_cast<int>(p)});
+  for (const auto& at : changed)
+    if (writing_.count(at) == 0) write_page(at);
   std::erase_if(to_deal_, [&](const auto& d) { return replica_.machine(d.first) != nullptr; });
   std::erase_if(to_drop_, [&](const auto& n) { return replica_.machine(n) == nullptr; });
 }
 
+// A page's machines as they are to be, with those dealt to it as far as the value takes them: what
+// it does not take goes to another page.
+std::map<std::string, Machine> Fleet::planned_page(const PageId& at) {
+  const auto [b, page] = at;
+  const auto& pages = replica_.pages[static_cast<size_t>(b)];
+  std::map<std::string, Machine> listed;
+  if (static_cast<size_t>(page) < pages.size())
+    for (const auto& n : pages[static_cast<size_t>(page)].names)
+      listed.emplace(n, *replica_.machine(n));
+  for (const auto& n : to_drop_) listed.erase(n);
+  const size_t most_bytes = ctx_.settings.platform.state_value_bytes;
+  for (auto& [n, m] : to_deal_) {
+    if (m.block != b || m.page != page || listed.count(n) != 0) continue;
+    auto with = listed;
+    with.emplace(n, m);
+    if (core::encode_machines(with).dump().size() <= most_bytes)
+      listed = std::move(with);
+    else
+      m.page = static_cast<int>(pages.size());
+  }
+  return listed;
+}
+
+void Fleet::write_page(const PageId& at) {
+  const auto [b, page] = at;
+  const auto& pages = replica_.pages[static_cast<size_t>(b)];
+  std::map<std::string, Machine> listed = planned_page(at);
+  std::vector<PageId> written{at};
+  std::vector<std::string> keys{core::machines_key(b, page)};
+  const bool known = static_cast<size_t>(page) < pages.size();
+  std::vector<state::Guard> guards{{core::kLeaderKey, replica_.leader.stamp},
+                                   {keys[0], known ? pages[static_cast<size_t>(page)].stamp : 0}};
+  std::vector<state::Write> writes;
+  // The new pages come first: who applies the changes in order misses no machine in between.
+  const size_t most = replica_.machines_per_page();
+  int fresh = static_cast<int>(pages.size());
+  while (listed.size() > most && core::Upgrade::complete(replica_)) {
+    std::map<std::string, Machine> moved;
+    while (listed.size() > most && moved.size() < most)
+      moved.insert(listed.extract(std::prev(listed.end())));
+    while (writing_.count({b, fresh}) != 0) ++fresh;
+    written.emplace_back(b, fresh);
+    keys.push_back(core::machines_key(b, fresh++));
+    guards.push_back({keys.back(), 0});
+    writes.push_back({keys.back(), core::encode_machines(moved), 0});
+  }
+  if (written.size() > 1)
+    ctx_.info("fleet", "page {} of block {} is split into {}", page, b, written.size());
+  writes.push_back({keys[0], core::encode_machines(listed), 0});
+  bool sent = committer_.commit(
+      guards, std::move(writes), [this, written, keys](const state::TxnResult& r) {
+        auto free = [this, written] {
+          for (const auto& w : written) writing_.erase(w);
+        };
+        if (r.outcome == Outcome::kConflict || r.outcome == Outcome::kUnknown)
+          committer_.refresh(keys, free);
+        else
+          free();
+      });
+  if (sent) writing_.insert(written.begin(), written.end());
+}
+
 // ---- releases ------------------------------------------------------------------------------
 
 void Fleet::release(const std::string& name, const std::string& reason) {
@@ -680,7 +725,8 @@
     for (const auto& ref : replica_.placed_on(*at)) {
       const Job* job = replica_.job(ref.job);
       const JobSpec& s = job->spec;
-      if (job->over()) continue;
+      // A gang's task would be lost to the others; gangs are left to finish.
+      if (job->over() || s.shape == core::Shape::kGang) continue;
       const bool service = s.shape == core::Shape::kService;
       int& left = service ? replicas : tasks;
       if (left <= 0 || looks <= 0 || (service ? job->placed != s.tasks : s.checkpoint_s <= 0))
@@ -725,6 +771,42 @@
   return out;
 }
 
+// The block, and zone, that has room for all of a gang's tasks, or the most of it where more can be
+// rented. Room for a part of them in each of several blocks is of no use: one holder places all.
+Fleet::GangHome Fleet::gang_home(const JobSpec& s, const std::vector<Space>& rooms,
+                                 int only_block) const {
+  auto allowed_type = [&](const std::string& name) {
+    return s.types.empty() || std::find(s.types.begin(), s.types.end(), name) != s.types.end();
+  };
+  std::map<std::pair<int, std::string>, double> tasks;  // by block and zone
+  for (size_t b = 0; b < replica_.leases.size(); ++b)
+    for (const auto& [name, type] : replica_.types) {
+      if (!allowed_type(name)) continue;
+      for (const auto& zone : type.zones)
+        if (open({{name, false}, zone}) || (s.spot && open({{name, true}, zone})))
+          tasks[{static_cast<int>(b), s.one_zone ? zone : ""}];
+    }
+  for (const auto& r : rooms) {
+    if (r.block < 0 || (r.spot && !s.spot) || !allowed_type(r.type->name)) continue;
+    double n = s.tasks;
+    if (s.cpus > 0) n = std::min(n, std::floor((r.cpus + 1e-9) / s.cpus));
+    if (s.memory_gb > 0) n = std::min(n, std::floor((r.memory + 1e-9) / s.memory_gb));
+    if (s.gpus > 0) n = std::min(n, std::floor((r.gpus + 1e-9) / s.gpus));
+    if (n >= 1) tasks[{r.block, s.one_zone ? r.zone : ""}] += n;
+  }
+  GangHome best;
+  double most = -1;
+  for (const auto& [at, n] : tasks) {
+    const auto& [block, zone] = at;
+    if (only_block >= 0 && block != only_block) continue;
+    if (s.one_zone && !s.zone.empty() && zone != s.zone) continue;
+    if (n <= most) continue;
+    most = n;
+    best = {block, zone};
+  }
+  return best;
+}
+
 void Fleet::rent_for_waiting(const net::ViewMap& views, const std::vector<Waiting>& waiting) {
   if (waiting.empty()) return;
   std::vector<Space> rooms = spaces(views);
@@ -749,7 +831,12 @@
             if (s.one_zone) only_zone = m->zone;
           }
     // A limit too small to be divided lies with one block: only room there is of use.
-    const int home = placement::only_home(ctx_.settings, replica_, s.team);
+    int home = placement::only_home(ctx_.settings, replica_, s.team);
+    if (s.shape == core::Shape::kGang) {
+      const GangHome gang = gang_home(s, rooms, home);
+      home = gang.block;
+      if (s.one_zone) only_zone = gang.zone;
+    }
     auto in_block = [&](int block) { return home < 0 || block == home; };
     // How many more tasks a zone may take.
     auto zone_left = [&](const std::string& zone) -> uint32_t {
--- a/src/rooksill/cloud/fleet.h
+++ b/src/rooksill/cloud/fleet.h
@@ -69,7 +69,10 @@
   void send_hires();
   void rent(const Offer& offer, int count, const std::string& reason, int block = -1);
   void deal(const std::vector<std::string>& names, const Offer& offer, int block = -1);
+  using PageId = std::pair<int, int>;  // block and page
   void write_machines();
+  std::map<std::string, core::Machine> planned_page(const PageId& at);
+  void write_page(const PageId& at);
   void judge(const net::ViewMap& views, const std::set<int>& suspect_blocks);
   void release(const std::string& name, const std::string& reason);
   void send_releases();
@@ -100,6 +103,13 @@
     int block = 0;
   };
   std::vector<Space> spaces(const net::ViewMap& views) const;
+  // Where a gang's tasks find room together: in one block and, if its job asks for that, one zone.
+  struct GangHome {
+    int block = -1;
+    std::string zone;  // empty: any
+  };
+  GangHome gang_home(const core::JobSpec& spec, const std::vector<Space>& rooms,
+                     int only_block) const;
   void rent_for_waiting(const net::ViewMap& views, const std::vector<Waiting>& waiting);
   bool open(const Offer& offer) const;
   void refused(const Offer& offer);
@@ -136,8 +146,8 @@
   std::map<std::string, std::string> addresses_;
   std::vector<ListedMachine> listing_;
   std::map<std::string, double> unexpected_;
-  std::string list_after_;                 // how far the list has been read
-  std::set<std::pair<int, int>> writing_;  // block and page
+  std::string list_after_;  // how far the list has been read
+  std::set<PageId> writing_;
   std::map<std::string, Zone> zones_;
   std::string last_moved_;
   bool listing_busy_ = false, catalog_busy_ = false, list_seen_ = false;
--- a/src/rooksill/core/codec.cc
+++ b/src/rooksill/core/codec.cc
@@ -23,6 +23,10 @@
 
 std::string limit_key(const std::string& team) { return kPrefix + "q/" + team; }
 
+std::string version_key(const std::string& label) { return kPrefix + "v/" + label; }
+
+bool is_machines_key(const std::string& key) { return key.rfind(kPrefix + "m/", 0) == 0; }
+
 bool valid_limit_key(const std::string& team) {
   return !team.empty() && team.size() <= kMaxName &&
          std::all_of(team.begin(), team.end(), [](unsigned char c) {
@@ -224,6 +228,27 @@
   return false;
 }
 
+json encode_version(const VersionRecord& record) {
+  return json{{"v", record.version}, {"i", record.incarnation}};
+}
+
+bool decode_version(const json& v, VersionRecord& record) try {
+  record.version = v.at("v");
+  record.incarnation = v.at("i");
+  return true;
+} catch (const json::exception&) {
+  return false;
+}
+
+json encode_upgrade(const UpgradeRecord& record) { return json{{"v", record.version}}; }
+
+bool decode_upgrade(const json& v, UpgradeRecord& record) try {
+  record.version = v.at("v");
+  return true;
+} catch (const json::exception&) {
+  return false;
+}
+
 json encode_type(const MachineType& t) {
   return json{{"n", t.name},     {"c", t.cpus},           {"g", t.gpus},  {"m", t.memory_gb},
               {"k", t.cache_gb}, {"f", t.fetch_gb_per_s}, {"p", t.price}, {"s", t.spot_price},
--- a/src/rooksill/core/core.cc
+++ b/src/rooksill/core/core.cc
@@ -26,6 +26,7 @@
       committer_(ctx_, replica_, client_),
       syncer_(ctx_, replica_, client_),
       peers_(ctx_),
+      upgrade_(ctx_, replica_, committer_, peers_),
       cancellations_(ctx_, replica_, peers_),
       holder_(ctx_, replica_, client_, committer_, cancellations_),
       fleet_(ctx_, replica_, committer_),
@@ -253,6 +254,8 @@
   leave_life_sign();
   syncer_.tick();
   committer_.tick();
+  upgrade_.tick(leader_.leading());
+  if (Upgrade::complete(replica_)) peers_.speak(kPresentVersion);
   holder_.tick();
   const double now = ctx_.now.steady;
   if (now >= next_scan_) {
--- a/src/rooksill/core/core.h
+++ b/src/rooksill/core/core.h
@@ -9,6 +9,7 @@
 #include "rooksill/core/leader.h"
 #include "rooksill/core/peers.h"
 #include "rooksill/core/replica.h"
+#include "rooksill/core/upgrade.h"
 #include "rooksill/state/client.h"
 #include "rooksill/state/committer.h"
 #include "rooksill/state/syncer.h"
@@ -50,6 +51,7 @@
   state::Committer committer_;
   state::Syncer syncer_;
   Peers peers_;
+  Upgrade upgrade_;
   Cancellations cancellations_;
   Holder holder_;
   cloud::Fleet fleet_;
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -407,7 +407,7 @@
 void Holder::note_images(Worker& w) {
   const Machine* m = replica_.machine(w.name);
   for (const auto& t : w.tasks) {
-    if (t.phase != Phase::kRunning) continue;
+    if (t.phase != Phase::kRunning && t.phase != Phase::kGathering) continue;
     const Job* j = replica_.job(t.task.job);
     if (j == nullptr) continue;
     auto it = std::find_if(w.images.begin(), w.images.end(),
@@ -441,7 +441,6 @@
   auto order = [&](Order o) {
     if (orders != nullptr) orders->push_back(std::move(o));
   };
-  const bool draining = w.notice_until.has_value();
   for (const auto& t : w.tasks) {
     const TaskState* s = replica_.task(t.task);
     const bool ours = s != nullptr && !s->done && s->machine == w.name && s->attempt == t.attempt;
@@ -467,35 +466,54 @@
       continue;
     }
     if (t.phase == Phase::kRunning) w.running_since.emplace(t.task, ctx_.now.steady);
-    if (job->over()) {
-      order({Order::Op::kStop, t.task, t.attempt, 0});
-    } else if (t.phase != Phase::kSaving) {
-      auto e = evicted_.find(t.task);
-      const bool evicted = e != evicted_.end() && e->second == t.attempt;
-      if (evicted || (draining && !ends_in_time(w, t, *job)))
-        order({Order::Op::kStop, t.task, t.attempt, job->spec.save_s});
-    }
+    if (auto o = order_for(w, t, *job)) order(std::move(*o));
   }
   for (const auto& ref : replica_.placed_on(w.name)) {
     if (matched.count(ref) != 0 || changing(ref)) continue;
-    const TaskState* s = replica_.task(ref);
-    const Job* job = replica_.job(ref.job);
-    // What was never started here, or went with the machine's session, is started (again) where the
-    // state has it: its image is there, and nothing has to be written. After a cut that outlasts
-    // the lease that is true of hundreds of machines at once. A machine that is to go is no place
-    // for it.
-    // Neither where its team's share has been given to others since it ended here unwritten.
-    if (job->over() || draining || w.bad || drain_.count(w.name) != 0 ||
-        beyond_share(job->spec.team, w)) {
-      if (sure) change(ref, {Change::Kind::kLost, w.name, s->attempt, w.block});
-    } else {
-      order({Order::Op::kStart, ref, s->attempt, 0});
-    }
+    end_of_unreported(w, ref, *replica_.job(ref.job), sure, order);
   }
   if (w.running_since.size() > 4 * (w.tasks.size() + 16))
     std::erase_if(w.running_since, [&](const auto& r) { return matched.count(r.first) == 0; });
 }
 
+// What a task that is on its machine, as the state has it, is to be told.
+std::optional<Order> Holder::order_for(Worker& w, const worker::ReportedTask& t, const Job& job) {
+  const Order at_once{Order::Op::kStop, t.task, t.attempt, 0};
+  const Order saving{Order::Op::kStop, t.task, t.attempt, job.spec.save_s};
+  if (job.over()) return at_once;
+  if (t.phase == Phase::kSaving) return std::nullopt;
+  auto e = evicted_.find(t.task);
+  if (e != evicted_.end() && e->second == t.attempt) return saving;
+  const bool gang = job.spec.shape == Shape::kGang;
+  // Without one of them the others cannot go on; where they waited for one another they would wait
+  // in vain. The next attempt needs all of them gone.
+  if (gang && gang_broken(job)) return at_once;
+  if (!w.notice_until || ends_in_time(w, t, job)) return std::nullopt;
+  if (gang) stop_gang(job);
+  return saving;
+}
+
+// What the state has on a machine and the machine does not report. What was never started here, or
+// went with the machine's session, is started (again) where the state has it: its image is there,
+// and nothing has to be written. After a cut that outlasts the lease that is true of hundreds of
+// machines at once. A machine that is to go is no place for it, nor one where its team's share has
+// been given to others since it ended here unwritten. Nor can a gang's task come back to an attempt
+// that has run, or that has lost another task.
+void Holder::end_of_unreported(Worker& w, const TaskRef& ref, const Job& job, bool sure,
+                               const std::function<void(Order)>& order) {
+  const uint64_t attempt = replica_.task(ref)->attempt;
+  const bool attempt_over =
+      job.spec.shape == Shape::kGang && (w.running_since.count(ref) != 0 || gang_broken(job));
+  if (job.over() || w.notice_until || w.bad || drain_.count(w.name) != 0 || attempt_over ||
+      beyond_share(job.spec.team, w)) {
+    if (!sure) return;
+    w.running_since.erase(ref);
+    change(ref, {Change::Kind::kLost, w.name, attempt, w.block});
+  } else {
+    order({Order::Op::kStart, ref, attempt, 0});
+  }
+}
+
 // Whether a task on a machine that will be taken is likely to complete before. What is not starts
 // elsewhere at once, instead of when the machine has gone.
 bool Holder::ends_in_time(const Worker& w, const worker::ReportedTask& t, const Job& job) const {
@@ -513,7 +531,8 @@
              w.name, static_cast<int>(t.cause));
   if (t.cause == Cause::kError) {
     note_failure(w, t.task.job, t.attempt);
-  } else if (t.cause != Cause::kStopped) {
+  } else if (t.cause != Cause::kStopped && t.cause != Cause::kMatesGone &&
+             t.cause != Cause::kAlone) {
     w.avoid_until = ctx_.now.steady + ctx_.settings.platform.report_s / 3;
   }
   w.running_since.erase(t.task);
@@ -642,7 +661,8 @@
   uint32_t done = job->done;
   bool decided = false, leaving = false;
   for (const auto& [i, c] : work.waiting) {
-    done += c.kind == Change::Kind::kDone ? 1 : 0;
+    if (c.kind == Change::Kind::kDone)
+      done += job->spec.shape == Shape::kGang ? job->spec.tasks : 1;
     decided = decided || c.kind != Change::Kind::kDone;
     // The result would be lost with the machine.
     auto w = workers_.find(c.machine);
@@ -684,8 +704,9 @@
   if (c.kind == Change::Kind::kPlace) {
     if (!c.from.empty() && !under(c.from_block, c.from_lease)) return false;
     const bool reported_gone = !c.from.empty() && !s.done && s.machine == c.from;
-    if (job.over() || (!reported_gone && !replica_.waits(s)) || s.attempt + 1 != c.attempt)
-      return false;
+    const bool gang = job.spec.shape == Shape::kGang;  // whose tasks share an attempt's number
+    if (gang ? s.attempt >= c.attempt : s.attempt + 1 != c.attempt) return false;
+    if (job.over() || (!reported_gone && !replica_.waits(s))) return false;
     if (replica_.machine_gone(c.machine) || c.basis != basis(job, c.block)) return false;
     // Taken from a machine that is in no list: only if the lists are known as far as this chunk.
     // With older lists, a machine just dealt would look gone.
@@ -700,6 +721,38 @@
   return true;
 }
 
+// All tasks of an attempt are placed by one change, or none is; and all are done when one is. Says
+// whether the change places tasks.
+bool Holder::keep_gang_whole(const Job& job, const ChunkId& id, ChunkWork& work,
+                             std::vector<TaskState>& tasks) {
+  if (std::any_of(tasks.begin(), tasks.end(), [](const TaskState& t) { return t.done; })) {
+    for (auto& t : tasks) {
+      t.machine.clear();
+      t.done = true;
+    }
+    return false;
+  }
+  const auto is_place = [](const auto& c) { return c.second.kind == Change::Kind::kPlace; };
+  const auto places = std::count_if(work.waiting.begin(), work.waiting.end(), is_place);
+  if (places == 0) return false;
+  const bool whole = static_cast<size_t>(places) == tasks.size() &&
+                     std::all_of(tasks.begin(), tasks.end(), [&](const TaskState& t) {
+                       return t.attempt == tasks.front().attempt;
+                     });
+  if (whole) return true;
+  for (auto c = work.waiting.begin(); c != work.waiting.end();) {
+    if (!is_place(*c)) {
+      ++c;
+      continue;
+    }
+    const auto dropped = *c;
+    c = work.waiting.erase(c);
+    tasks[dropped.first] = job.chunks[id.second].tasks[dropped.first];
+    drop_change(id, dropped.first, dropped.second);
+  }
+  return false;
+}
+
 void Holder::flush() {
   for (int i = in_flight_; i < kMaxInFlight; ++i) {
     const int before = in_flight_;
@@ -755,6 +808,7 @@
       if (!c->second.from.empty()) extra[lease_key(c->second.from_block)] = c->second.from_lease;
       ++c;
     }
+    if (job->spec.shape == Shape::kGang) places = keep_gang_whole(*job, id, work, tasks);
     if (work.waiting.empty()) {
       unqueue(id, work);
       work_.erase(id);
@@ -875,6 +929,7 @@
     }
     case Outcome::kRefused:
     case Outcome::kNoLease:
+    case Outcome::kTooLarge:
       ctx_.count("refused");
       backoff_until_ = ctx_.now.steady + kBackoff;
       send_again(chunks);
@@ -1054,7 +1109,7 @@
 
 std::string Holder::summary() {
   size_t reported = 0, taking = 0, sending = 0, placed = 0;
-  std::array<size_t, 4> phases{};
+  std::array<size_t, 5> phases{};
   double cpus = 0, free = 0;
   for (auto& [name, w] : workers_) {
     const Room& room = room_of(w);
@@ -1069,10 +1124,11 @@
   }
   return fmt::format(
       "machines: {}, {} heard, {} taking tasks with {:.0f} of {:.0f} cores free, {} sent commands; "
-      "tasks: {} placed, reported {} fetching, {} running, {} saving, {} ended; chunks routed "
+      "tasks: {} placed, reported {} fetching, {} gathering, {} running, {} saving, {} ended; "
+      "chunks routed "
       "here: {}",
       workers_.size(), reported, taking, free, cpus, sending, placed, phases[0], phases[1],
-      phases[2], phases[3], routed_.size());
+      phases[2], phases[3], phases[4], routed_.size());
 }
 
 net::MachineView Holder::view(Worker& w) {
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <list>
 #include <map>
 #include <unordered_map>
@@ -11,6 +12,7 @@
 #include "rooksill/core/limit_transfers.h"
 #include "rooksill/core/replica.h"
 #include "rooksill/net/peer_codec.h"
+#include "rooksill/placement/gang_plan.h"
 #include "rooksill/state/committer.h"
 #include "rooksill/worker/codec.h"
 
@@ -174,6 +176,9 @@
   bool may_decide(const Candidate& c) const;
   void drop_change(const ChunkId& id, uint32_t index, const Change& c);
   uint64_t basis(const Job& job, int block) const;
+  void end_of_unreported(Worker& w, const TaskRef& ref, const Job& job, bool sure,
+                         const std::function<void(worker::Order)>& order);
+  std::optional<worker::Order> order_for(Worker& w, const worker::ReportedTask& t, const Job& job);
   bool apply_change(const Job& job, const Chunk& chunk, TaskState& state, const Change& c) const;
   void flush_group();
   void settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
@@ -205,8 +210,17 @@
   uint32_t make_room(const Job& job, uint32_t count, const std::vector<Worker*>& workers,
                      const std::map<std::string, uint32_t>& zones, const std::string& only_zone,
                      bool only_cached);
-  bool fits_whole(const Job& job, const std::vector<Worker*>& workers,
-                  const std::string& only_zone);
+  // Gang jobs (placement/gang_placer.cc).
+  bool gang_broken(const Job& job) const;
+  void stop_gang(const Job& job);
+  std::optional<uint64_t> next_gang_attempt(const Job& job) const;
+  std::vector<placement::GangOption> gang_options(const Job& job,
+                                                  const std::vector<Worker*>& workers);
+  std::map<int, double> gang_tasks_left(const JobSpec& s);
+  void place_gang(const Candidate& c, const std::vector<Worker*>& workers);
+  void make_room_for_gang(const Job& job, const std::vector<Worker*>& workers);
+  bool keep_gang_whole(const Job& job, const ChunkId& id, ChunkWork& work,
+                       std::vector<TaskState>& tasks);
   double reserve(const JobSpec& s, const Room& r) const;
   double due_time(const Job& job) const;
 
@@ -234,7 +248,8 @@
   std::vector<std::string> attention_;
   std::optional<net::Sighting> sighting_;
   std::map<int, Unmet> unmet_;
-  std::unordered_map<const Worker*, Unmet> promised_;  // of what is being made free, in a pass
+  std::unordered_map<const Worker*, Unmet> promised_;   // of what is being made free, in a pass
+  std::unordered_map<const Worker*, Unmet> set_aside_;  // of what is free, for gangs, in a pass
   double cheapest_ = 1;
   int evictions_ = 0;
   double stops_left_ = 0, stops_at_ = 0;  // that arrays may make room with, and when that was
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "rooksill/core/codec.h"
+#include "rooksill/core/upgrade.h"
 #include "rooksill/placement/limit_shares.h"
 
 namespace rooksill::core {
@@ -172,9 +173,12 @@
   } else if (!peers_.alive(label)) {
     why = "it is not heard";
   } else {
-    const net::Beat& b = peers_.find(label)->beat;
+    const Peer& peer = *peers_.find(label);
+    const net::Beat& b = peer.beat;
     if (!b.ready)
       why = "its replica is not loaded";
+    else if (Upgrade::runs_older_version(replica_, label, peer))
+      why = "it runs an older version";
     else if (!b.state_ok)
       why = "the state service does not answer it";
     else if (b.suspects_itself)
@@ -408,11 +412,20 @@
       if (there != p.cached.end()) cached += slots(p, std::min(there->second, p.cpus));
     }
     double fit = 0;
-    for (const auto& [zone, n] : per_zone)
-      fit +=
-          s.spread
-              ? std::min(n, static_cast<double>(most_in_zone) - std::min(zones[zone], most_in_zone))
-              : n;
+    for (const auto& [zone, n] : per_zone) {
+      if (s.one_zone)
+        fit = std::max(fit, n);
+      else if (s.spread)
+        fit += std::min(n, static_cast<double>(most_in_zone) - std::min(zones[zone], most_in_zone));
+      else
+        fit += n;
+    }
+    // A gang needs room for all of its tasks at once: a part is of use only for being nearest to
+    // it.
+    if (s.shape == Shape::kGang && fit < s.tasks) {
+      score[b] += fit;
+      fit = cached = 0;
+    }
     fits[b].room = fit;
     // A block without a share for this team cannot take the job, whatever its room.
     const int block = static_cast<int>(b);
--- a/src/rooksill/core/limit_transfers.cc
+++ b/src/rooksill/core/limit_transfers.cc
@@ -91,6 +91,7 @@
       return;
     case Outcome::kRefused:
     case Outcome::kNoLease:
+    case Outcome::kTooLarge:
       p.busy = false;
       // Not executed. Where one before may yet be, the amount stays gone until that is settled.
       if (!p.uncertain) pending_.erase(it);
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -116,9 +116,25 @@
   std::vector<std::string> unreachable_zones;  // whose machines it cannot reach
 };
 
+// The version of a controller's process, as it recorded it itself when it started.
+struct VersionRecord {
+  uint64_t stamp = 0, incarnation = 0;
+  int version = 0;
+};
+
+// Says that every controller has at least this version. Written once.
+struct UpgradeRecord {
+  uint64_t stamp = 0;  // 0: not written yet
+  int version = 0;
+};
+
 // What a task in a chunk or a machine in a list takes at most of a state value, in bytes: names are
-// at most 100 long. So neither a chunk nor a page of a list can outgrow its value.
+// at most 100 long.
 inline constexpr size_t kItemBytes = 128;
+// What they take with names of usual length, and their share of what is written once for several.
+// Where a value is to shrink, more is put into it than the longest names would allow; whoever adds
+// to it looks at its size.
+inline constexpr size_t kUsualTaskBytes = 32, kUsualMachineBytes = 48;
 inline constexpr size_t kMaxName = 100;
 inline constexpr double kLateBoot = 2.5;  // boot times after which a machine is not counted on
 inline constexpr int kTokenShift = 20;    // a holder raises tokens below its lease's
--- a/src/rooksill/core/peers.cc
+++ b/src/rooksill/core/peers.cc
@@ -4,9 +4,13 @@
 
 namespace rooksill::core {
 
+namespace {
+constexpr int kLatestEnvelope = 2;  // this version takes both
+}  // namespace
+
 std::optional<net::Envelope> Peers::receive(const std::string& bytes) {
   net::Envelope e;
-  if (!net::unpack(bytes, e) || e.version != 1) return std::nullopt;
+  if (!net::unpack(bytes, e) || e.version < 1 || e.version > kLatestEnvelope) return std::nullopt;
   auto it = peers_.find(e.label);
   if (it == peers_.end()) return std::nullopt;
   Peer& p = it->second;
@@ -22,12 +26,14 @@
   }
   if (!alive(e.label)) p.first_heard = ctx_.now.steady;
   p.seq = e.seq;
+  p.version = e.version;
   p.last_heard = ctx_.now.steady;
   return e;
 }
 
 void Peers::send(const std::string& label, net::PeerKind kind, const std::string& payload) {
   net::Envelope e;
+  e.version = version_;
   e.kind = static_cast<int>(kind);
   e.label = ctx_.settings.platform.label;
   e.incarnation = ctx_.incarnation;
--- a/src/rooksill/core/peers.h
+++ b/src/rooksill/core/peers.h
@@ -13,6 +13,7 @@
 
 struct Peer {
   uint64_t incarnation = 0, seq = 0;
+  int version = 0;  // of the envelope that came last
   double last_heard = -1e9, first_heard = 0;
   double sign_at = -1e9;    // when its last life sign for us was seen in the state
   uint64_t sign_stamp = 0;  // of the last one known
@@ -32,6 +33,8 @@
   void lost(const std::string& label);
 
   double sign_pause() const { return kSignReports * ctx_.settings.platform.report_s; }
+  // From now on in envelopes of this version, which older processes do not take.
+  void speak(int version) { version_ = version; }
   // This process stood still for so long: that time is nobody's silence.
   void paused(double for_s) {
     for (auto& [label, p] : peers_) p.last_heard += for_s;
@@ -64,6 +67,7 @@
   Context& ctx_;
   std::map<std::string, Peer> peers_;
   uint64_t seq_ = 0;
+  int version_ = 1;
   bool signs_known_ = false;
 };
 
--- a/src/rooksill/core/replica.cc
+++ b/src/rooksill/core/replica.cc
@@ -15,6 +15,13 @@
   auto [q, ec2] = std::from_chars(p + 1, end, second);
   return ec2 == std::errc() && q == end && first >= 0 && second >= 0;
 }
+
+// As many as fit the present limit with the longest names, and a lower one to come with usual ones.
+uint32_t items_per_value(const PlatformSettings& s, size_t usual_bytes) {
+  const size_t items =
+      std::min(s.state_present_value_bytes / kItemBytes, s.state_value_bytes / usual_bytes);
+  return static_cast<uint32_t>(std::max<size_t>(1, items));
+}
 }  // namespace
 
 size_t chunk_count(const Job& job) {
@@ -28,8 +35,8 @@
 Replica::Replica(const PlatformSettings& settings)
     : leases(static_cast<size_t>(settings.controllers)),
       pages(static_cast<size_t>(settings.controllers)),
-      items_per_value_(
-          static_cast<uint32_t>(std::max<size_t>(1, settings.state_value_bytes / kItemBytes))) {}
+      tasks_per_chunk_(items_per_value(settings, kUsualTaskBytes)),
+      machines_per_page_(items_per_value(settings, kUsualMachineBytes)) {}
 
 Job* Replica::job(const std::string& id) {
   auto it = jobs.find(id);
@@ -96,6 +103,11 @@
     term = value.value("t", uint64_t{0});
     return true;
   }
+  if (kPrefix + rest == kUpgradeKey) {
+    if (stamp <= upgrade.stamp || !decode_upgrade(value, upgrade)) return false;
+    upgrade.stamp = stamp;
+    return true;
+  }
   if (rest.size() < 3 || rest[1] != '/') return false;
   const std::string name = rest.substr(2);
   switch (rest[0]) {
@@ -149,6 +161,14 @@
       known = std::move(fresh);
       return true;
     }
+    case 'v': {
+      VersionRecord fresh;
+      VersionRecord& known = versions[name];
+      if (stamp <= known.stamp || !decode_version(value, fresh)) return false;
+      fresh.stamp = stamp;
+      known = fresh;
+      return true;
+    }
     case 'q': {
       LimitDivision fresh;
       LimitDivision& known = divisions[name];
@@ -294,18 +314,27 @@
   MachinePage& p = pages[static_cast<size_t>(block)][static_cast<size_t>(page)];
   p.stamp = stamp;
   std::vector<std::string> changed;
-  for (const auto& name : p.names)
-    if (fresh.count(name) == 0) {
-      machines.erase(name);
-      changed.push_back(name);
-    }
+  for (const auto& name : p.names) {
+    if (fresh.count(name) != 0) continue;
+    // A page that was split: the machine is on another page by the same transaction, which writes
+    // that page first.
+    auto known = machines.find(name);
+    if (known != machines.end() && (known->second.block != block || known->second.page != page))
+      continue;
+    machines.erase(name);
+    changed.push_back(name);
+  }
   p.names.clear();
   for (const auto& [name, listed] : fresh) {
     Machine m = listed;
     m.block = block;
     m.page = page;
     p.names.insert(name);
-    if (machines.emplace(name, std::move(m)).second) changed.push_back(name);
+    auto [known, added] = machines.try_emplace(name, std::move(m));
+    if (added)
+      changed.push_back(name);
+    else
+      known->second.page = page;
   }
   for (const auto& name : changed) {
     touched_machines.insert(name);
--- a/src/rooksill/core/replica.h
+++ b/src/rooksill/core/replica.h
@@ -67,8 +67,9 @@
   const std::string& image_name(int number) const {
     return image_names_[static_cast<size_t>(number) - 1];
   }
-  // Tasks to a chunk, machines to a page of a list: what fits a state value.
-  uint32_t items_per_value() const { return items_per_value_; }
+  // What fits a state value.
+  uint32_t tasks_per_chunk() const { return tasks_per_chunk_; }
+  uint32_t machines_per_page() const { return machines_per_page_; }
 
   std::unordered_map<std::string, Job> jobs;
   std::unordered_map<std::string, Machine> machines;
@@ -78,6 +79,8 @@
   Leadership leader;
   std::map<std::string, LimitDivision> divisions;  // by team
   std::map<std::string, LifeSign> life_signs;      // by controller
+  std::map<std::string, VersionRecord> versions;   // by controller
+  UpgradeRecord upgrade;
   uint64_t term = 0, term_stamp = 0;
   std::set<std::string> open_jobs;
   std::set<std::string> waiting_jobs;   // open, with tasks on no machine
@@ -106,7 +109,7 @@
   void take_off(const Job& job, const TaskRef& ref, const std::string& machine);
   Job* chunk_of(const std::string& name, uint32_t& index);
 
-  uint32_t items_per_value_;
+  uint32_t tasks_per_chunk_, machines_per_page_;
   std::unordered_map<std::string, MachineLoad> loads_;
   std::unordered_map<std::string, int> image_numbers_;
   std::vector<std::string> image_names_;
--- a/src/rooksill/net/peer_codec.h
+++ b/src/rooksill/net/peer_codec.h
@@ -135,6 +135,7 @@
   MSGPACK_DEFINE_ARRAY(machine, address, type, zone, spot)
 };
 
+// Version 1 is the form that controllers without upgrade records send and take.
 struct Envelope {
   int version = 1, kind = 0;
   std::string label;
--- /dev/null
+++ b/src/rooksill/placement/gang_placer.cc
@@ -0,0 +1,161 @@
+// Gang jobs inside the blocks that this controller holds: all tasks of an attempt are placed by one
+// change, or none is; once one of them is gone, the rest of the attempt is stopped, and the next
+// attempt waits until all of it is gone.
+#include <algorithm>
+#include <cmath>
+
+#include "rooksill/core/codec.h"
+#include "rooksill/core/holder.h"
+#include "rooksill/placement/gang_plan.h"
+
+namespace rooksill::core {
+
+namespace {
+constexpr double kSlack = 1e-9;  // sums of fractions
+// A gang that waits longer than so many reports keeps what comes free from work of lower rank.
+constexpr double kSetAsideReports = 1;
+}  // namespace
+
+// Whether a task of the attempt that the state has is gone, or known here to be.
+bool Holder::gang_broken(const Job& job) const {
+  for (uint32_t c = 0; c < job.chunks.size(); ++c) {
+    const Chunk& chunk = job.chunks[c];
+    auto work = work_.find({job.spec.id, c});
+    for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
+      const TaskState& t = chunk.tasks[i];
+      if (t.done) continue;
+      if (t.machine.empty()) return true;
+      if (replica_.machine_gone(t.machine) && replica_.lists_cover(chunk)) return true;
+      if (work == work_.end()) continue;
+      const Change* change = change_in(work->second, i);
+      if (change != nullptr && change->kind == Change::Kind::kLost) return true;
+    }
+  }
+  return false;
+}
+
+// Tells all of a gang's tasks on the machines held here to stop and save, at once: those that are
+// told later than `gang_peer_s` after the first save nothing.
+void Holder::stop_gang(const Job& job) {
+  for (const auto& chunk : job.chunks)
+    for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
+      const TaskState& t = chunk.tasks[i];
+      auto w = workers_.find(t.machine);
+      if (t.machine.empty() || w == workers_.end()) continue;
+      const uint32_t first = static_cast<uint32_t>(&chunk - job.chunks.data()) * job.chunk_tasks;
+      if (!evicted_.insert_or_assign({job.spec.id, first + i}, t.attempt).second) continue;
+      attend(w->second);
+    }
+}
+
+// The number of the next attempt, if all tasks of the one before are gone for certain.
+std::optional<uint64_t> Holder::next_gang_attempt(const Job& job) const {
+  const Chunk& chunk = job.chunks.front();
+  auto own = work_.find({job.spec.id, 0});
+  uint64_t last = 0;
+  for (uint32_t i = 0; i < chunk.tasks.size(); ++i) {
+    const TaskState& t = chunk.tasks[i];
+    last = std::max(last, t.attempt);
+    const Change* change = own == work_.end() ? nullptr : change_in(own->second, i);
+    if (change != nullptr) {
+      // Reported gone, and not written yet: the next place may go with the same change.
+      if (change->kind != Change::Kind::kLost || own->second.busy) return std::nullopt;
+    } else if (!replica_.waits(t) || (!t.machine.empty() && !replica_.lists_cover(chunk))) {
+      return std::nullopt;
+    }
+  }
+  return last + 1;
+}
+
+std::vector<placement::GangOption> Holder::gang_options(const Job& job,
+                                                        const std::vector<Worker*>& workers) {
+  std::vector<placement::GangOption> out;
+  out.reserve(workers.size());
+  for (const Worker* w : workers) {
+    const Room& room = w->room;
+    placement::GangOption option{room.zone, room.block, 0, 0, 0};
+    if (allowed(job.spec, *w)) option.slots = slots(job.spec, *w);
+    if (option.slots > 0) {
+      option.score = score(job, *w);
+      if (!w->has_image(job.image))
+        option.start_s = job.spec.image_gb / std::max(0.01, room.type->fetch_gb_per_s) *
+                         (1 + static_cast<double>(room.fetching.size()));
+    }
+    out.push_back(std::move(option));
+  }
+  return out;
+}
+
+std::map<int, double> Holder::gang_tasks_left(const JobSpec& s) {
+  std::map<int, double> out;
+  for (const auto& [block, stamp] : held_) {
+    const auto& used = team_use_[{block, s.team}];
+    const LimitShare& share = team_share(s.team, block);
+    double left = s.tasks;
+    if (s.cpus > 0) left = std::min(left, std::floor((share.cpus - used.first + kSlack) / s.cpus));
+    if (s.gpus > 0) left = std::min(left, std::floor((share.gpus - used.second + kSlack) / s.gpus));
+    out[block] = std::max(0.0, left);
+  }
+  return out;
+}
+
+void Holder::place_gang(const Candidate& c, const std::vector<Worker*>& workers) {
+  const Job& job = *c.job;
+  const JobSpec& s = job.spec;
+  if (job.chunks.size() != 1) return;
+  const auto attempt = next_gang_attempt(job);
+  if (!attempt) return;
+  const auto options = gang_options(job, workers);
+  const auto plan = placement::plan_gang(options, s.tasks, gang_tasks_left(s), s.one_zone);
+  if (plan.empty()) return make_room_for_gang(job, workers);
+  uint32_t next = 0;
+  for (const auto& place : plan) {
+    Worker& w = *workers[place.option];
+    for (uint32_t k = 0; k < place.tasks; ++k) {
+      const TaskRef ref{s.id, next++};
+      change(ref, {Change::Kind::kPlace, w.name, *attempt, w.room.block, basis(job, w.room.block)});
+    }
+    ctx_.debug("placer", "{} tasks of gang {} attempt {} go to {} after {:.2f} s{}", place.tasks,
+               s.id, *attempt, w.name, ctx_.now.wall - job.submitted,
+               w.has_image(job.image) ? "" : ", image not there");
+    work_out_room(w);
+  }
+}
+
+// Stops work of lower priority if that makes room for the whole gang, and keeps what is free from
+// whoever comes after it in this pass: smaller jobs would take it each time.
+void Holder::make_room_for_gang(const Job& job, const std::vector<Worker*>& workers) {
+  const JobSpec& s = job.spec;
+  std::map<std::string, double> could_hold;  // by zone
+  for (const Worker* w : workers) {
+    if (!allowed(s, *w) || s.cpus <= 0) continue;
+    const Room& room = w->room;
+    double cpus = room.cpus + room.leaving_cpus - reserve(s, room);
+    for (size_t p = 0; p < static_cast<size_t>(s.priority); ++p) cpus += room.cpus_by_priority[p];
+    could_hold[s.one_zone ? room.zone : ""] += std::max(0.0, std::floor((cpus + kSlack) / s.cpus));
+  }
+  const auto best =
+      std::max_element(could_hold.begin(), could_hold.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (best == could_hold.end()) return;
+  const std::string zone = best->first;
+  uint32_t missing = s.tasks;
+  const bool waits_long =
+      ctx_.now.wall - job.submitted > kSetAsideReports * ctx_.settings.platform.report_s;
+  const bool enough = best->second >= s.tasks;
+  if (!enough && !waits_long) return;
+  for (Worker* w : workers) {
+    if (missing == 0) break;
+    if (!allowed(s, *w) || (!zone.empty() && w->room.zone != zone)) continue;
+    const uint32_t here = std::min(missing, slots(s, *w));
+    Unmet& taken = set_aside_[w];
+    taken.cpus += here * s.cpus;
+    taken.gpus += here * s.gpus;
+    taken.memory += here * s.memory_gb;
+    missing -= here;
+  }
+  if (enough && missing > 0 && s.priority > Priority::kIdle)
+    make_room(job, missing, workers, {}, zone, false);
+}
+
+}  // namespace rooksill::core
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -78,7 +78,7 @@
       room.leaving_cpus += job.spec.cpus;
       room.leaving_gpus += job.spec.gpus;
       room.leaving_memory += job.spec.memory_gb;
-    } else {
+    } else if (job.spec.shape != Shape::kGang) {  // a gang makes no room: it goes whole or not
       room.cpus_by_priority[static_cast<size_t>(job.spec.priority)] += job.spec.cpus;
     }
   }
@@ -188,9 +188,11 @@
   auto part = [&](double have, double need) {
     if (need > 0) n = std::min(n, std::floor((have + kSlack) / need));
   };
-  part(r.cpus - kept, s.cpus);
-  part(r.gpus, s.gpus);
-  part(r.memory, s.memory_gb);
+  const auto aside = set_aside_.find(&w);
+  const Unmet taken = aside == set_aside_.end() ? Unmet{} : aside->second;
+  part(r.cpus - kept - taken.cpus, s.cpus);
+  part(r.gpus - taken.gpus, s.gpus);
+  part(r.memory - taken.memory, s.memory_gb);
   if (n < 1) return 0;
   const auto& used = team_use_[{r.block, s.team}];
   const LimitShare& share = team_share(s.team, r.block);
@@ -284,7 +286,7 @@
     std::vector<std::pair<Priority, TaskRef>> lowers;
     for (const auto& ref : replica_.placed_on(w->name)) {
       const JobSpec& other = replica_.job(ref.job)->spec;
-      if (other.priority < s.priority && evicted_.count(ref) == 0)
+      if (other.priority < s.priority && other.shape != Shape::kGang && evicted_.count(ref) == 0)
         lowers.emplace_back(other.priority, ref);
     }
     std::sort(lowers.begin(), lowers.end());
@@ -352,16 +354,6 @@
   return std::isinf(due) ? last + kHopeless : due;
 }
 
-// A gang's tasks wait for one another: none is placed before all that wait have room.
-bool Holder::fits_whole(const Job& job, const std::vector<Worker*>& workers,
-                        const std::string& only_zone) {
-  uint64_t have = 0;
-  for (const Worker* w : workers)
-    if (allowed(job.spec, *w) && (only_zone.empty() || w->room.zone == only_zone))
-      have += slots(job.spec, *w);
-  return have >= replica_.unplaced(job);
-}
-
 void Holder::place() {
   if (!place_wanted_ || ctx_.now.steady < next_place_) return;
   place_wanted_ = false;
@@ -396,6 +388,7 @@
   shares_.clear();
   unmet_.clear();
   promised_.clear();
+  set_aside_.clear();
   evictions_ = 0;
   const double stops = kStopsPerWrite * client_.writes_per_s();
   stops_left_ = std::min(kStopsSaved * stops,
@@ -403,7 +396,10 @@
   stops_at_ = ctx_.now.steady;
   const auto workers = open_workers();
   for (const auto& c : waiting)
-    if (may_decide(c)) place_chunk(c, workers);
+    if (c.job->spec.shape == Shape::kGang)
+      place_gang(c, workers);
+    else if (may_decide(c))
+      place_chunk(c, workers);
 }
 
 void Holder::place_chunk(const Candidate& c, const std::vector<Worker*>& workers) {
@@ -412,8 +408,7 @@
   const Chunk& chunk = job.chunks[c.chunk];
   // Where no smaller need was met, this one will not be. Looked at before anything else: of a long
   // queue nearly all chunks end here.
-  const bool plain =
-      s.zone.empty() && s.types.empty() && !s.spread && !s.one_zone && s.shape != Shape::kGang;
+  const bool plain = s.zone.empty() && s.types.empty() && !s.spread && !s.one_zone;
   const int kind =
       (s.spot ? 1 : 0) + (s.checkpoint_s > 0 ? 2 : 0) + 4 * static_cast<int>(s.priority);
   auto known = unmet_.find(kind);
@@ -478,7 +473,6 @@
         }
     }
   }
-  if (s.shape == Shape::kGang && !fits_whole(job, workers, only_zone)) return;
   const uint32_t most_in_zone = s.most_in_zone();
   auto zone_left = [&](const std::string& zone) {
     if (!only_zone.empty() && zone != only_zone) return uint32_t{0};
--- a/src/rooksill/settings/platform.cc
+++ b/src/rooksill/settings/platform.cc
@@ -11,6 +11,9 @@
 
 using nlohmann::json;
 
+// The smallest limits of the state service that a job's record and the end of a job fit into.
+constexpr double kLeastValueKb = 1, kLeastTxnOps = 2;
+
 const json& member(const json& o, const char* name, const std::string& where) {
   auto it = o.is_object() ? o.find(name) : o.end();
   if (!o.is_object() || it == o.end()) throw SettingsError(where + name + ": missing");
@@ -47,6 +50,28 @@
   return a;
 }
 
+// The limits of the state service, and those that it will have after the upgrade if it lowers them.
+void parse_state_limits(const json& state, PlatformSettings& s) {
+  const std::string where = "facts.state.";
+  s.state_rps = number(state, "rps", where, 1);
+  s.state_write_rps = number(state, "write_rps", where, 1);
+  double value_kb = number(state, "value_kb", where, kLeastValueKb);
+  double txn_ops = number(state, "txn_ops", where, kLeastTxnOps);
+  s.state_next_write_rps = s.state_write_rps;
+  s.state_present_value_bytes = static_cast<size_t>(value_kb * 1024);
+  if (auto next = state.find("next"); next != state.end() && next->is_object()) {
+    const std::string inside = where + "next.";
+    if (next->contains("write_rps"))
+      s.state_next_write_rps = std::min(s.state_write_rps, number(*next, "write_rps", inside, 1));
+    if (next->contains("value_kb"))
+      value_kb = std::min(value_kb, number(*next, "value_kb", inside, kLeastValueKb));
+    if (next->contains("txn_ops"))
+      txn_ops = std::min(txn_ops, number(*next, "txn_ops", inside, kLeastTxnOps));
+  }
+  s.state_value_bytes = static_cast<size_t>(value_kb * 1024);
+  s.state_txn_ops = static_cast<size_t>(txn_ops);
+}
+
 }  // namespace
 
 std::vector<std::string> PlatformSettings::labels() const {
@@ -115,11 +140,9 @@
   s.report_s = number(w, "report_s", "facts.workers.", 0.01);
   s.lease_s = number(w, "lease_s", "facts.workers.", 0.01);
   s.cancel_s = number(w, "cancel_s", "facts.workers.", 0.01);
-  const json& st = member(f, "state", "facts.");
-  s.state_rps = number(st, "rps", "facts.state.", 1);
-  s.state_write_rps = number(st, "write_rps", "facts.state.", 1);
-  s.state_value_bytes = static_cast<size_t>(number(st, "value_kb", "facts.state.", 1) * 1024);
-  s.state_txn_ops = static_cast<size_t>(number(st, "txn_ops", "facts.state.", 2));
+  s.gang_wait_s = optional_number(w, "gang_wait_s", "facts.workers.");
+  s.gang_peer_s = optional_number(w, "gang_peer_s", "facts.workers.");
+  parse_state_limits(member(f, "state", "facts."), s);
   const json& c = member(f, "cloud", "facts.");
   s.cloud_rps = number(c, "rps", "facts.cloud.", 0.01);
   s.cloud_list_lag_s = number(c, "list_lag_s", "facts.cloud.", 0);
--- a/src/rooksill/settings/settings.h
+++ b/src/rooksill/settings/settings.h
@@ -36,8 +36,15 @@
   std::vector<Objective> objectives;
   int controllers = 3;
   double report_s = 3, lease_s = 30, cancel_s = 60;
+  // How long a gang's task waits for the others, and within which time all of a gang have to be
+  // told to stop. 0: the platform does not run gangs.
+  double gang_wait_s = 0, gang_peer_s = 0;
   double state_rps = 100, state_write_rps = 30;
+  // The state service's rate of changes once it has lowered its limits; the same if it will not.
+  double state_next_write_rps = 30;
+  // The smaller of the present and the coming limits: what is written has to fit both.
   size_t state_value_bytes = 8192, state_txn_ops = 32;
+  size_t state_present_value_bytes = 8192;
   double cloud_rps = 1, cloud_list_lag_s = 10;
   double cores = 1, memory_mb = 128;
   int max_sockets = 1000;
--- a/src/rooksill/state/client.cc
+++ b/src/rooksill/state/client.cc
@@ -33,7 +33,7 @@
   now_ = now;
   // Less a margin for the others' clocks and views.
   const double share = 0.95 / std::max(1, sharers);
-  writes_per_s_ = settings_.state_write_rps * share;
+  writes_per_s_ = write_limit() * share;
   requests_.set_rate(settings_.state_rps * share);
   writes_.set_rate(writes_per_s_);
   requests_.refill(now);
@@ -41,6 +41,7 @@
 }
 
 void Client::note(const core::CallDone& done) {
+  if (done.status == 429) lowered_ = true;
   if (done.status == 0 || done.status == 503) {
     if (healthy()) failing_since_ = now_;
     last_failure_ = now_;
@@ -97,30 +98,37 @@
   call_("POST", "/txn", body.dump(-1, ' ', false, json::error_handler_t::replace), 1.0,
         [this, done = std::move(done)](const core::CallDone& r) {
           note(r);
-          TxnResult out;
-          if (r.status == 429 || r.status == 503) {
-            out.outcome = Outcome::kRefused;
-            writes_.drain();
-          } else if (r.status == 0) {
-            out.outcome = r.refused ? Outcome::kRefused : Outcome::kUnknown;
-          } else {
-            json j = json::parse(r.body, nullptr, false);
-            if (r.status == 200 && j.is_object() && j.contains("epoch") &&
-                j["epoch"].is_number_unsigned()) {
-              out.outcome = Outcome::kApplied;
-              out.stamp = j["epoch"];
-            } else if (r.status == 409 && j.is_object() && j.contains("failed") &&
-                       j["failed"].is_array()) {
-              out.outcome = Outcome::kConflict;
-              for (const auto& k : j["failed"])
-                if (k.is_string()) out.failed.push_back(k);
-            } else if (r.status == 400) {
-              out.outcome = Outcome::kNoLease;
-            }
-          }
-          done(out);
+          done(result_of(r));
         });
   return true;
 }
 
+TxnResult Client::result_of(const core::CallDone& done) {
+  TxnResult out;
+  if (done.status == 429 || done.status == 503) {
+    out.outcome = Outcome::kRefused;
+    writes_.drain();
+    return out;
+  }
+  if (done.status == 0) {
+    out.outcome = done.refused ? Outcome::kRefused : Outcome::kUnknown;
+    return out;
+  }
+  const json j = json::parse(done.body, nullptr, false);
+  if (done.status == 200 && j.is_object() && j.contains("epoch") &&
+      j["epoch"].is_number_unsigned()) {
+    out.outcome = Outcome::kApplied;
+    out.stamp = j["epoch"];
+  } else if (done.status == 409 && j.is_object() && j.contains("failed") &&
+             j["failed"].is_array()) {
+    out.outcome = Outcome::kConflict;
+    for (const auto& k : j["failed"])
+      if (k.is_string()) out.failed.push_back(k);
+  } else if (done.status == 400) {
+    const bool no_lease = done.body.find("no such lease") != std::string::npos;
+    out.outcome = no_lease ? Outcome::kNoLease : Outcome::kTooLarge;
+  }
+  return out;
+}
+
 }  // namespace rooksill::state
--- a/src/rooksill/state/client.h
+++ b/src/rooksill/state/client.h
@@ -31,6 +31,7 @@
   kApplied,   // stamp is the revision
   kConflict,  // failed names the keys
   kRefused,   // not executed: 429, 503, or no connection was made
+  kTooLarge,  // not executed: a value or the transaction is over the limits, or malformed
   kUnknown,   // may have been, or may yet be, executed
   kNoLease
 };
@@ -85,7 +86,8 @@
   bool raw(const std::string& method, const std::string& path, const std::string& body,
            double timeout_s, core::CallHandler done);
 
-  // The limits are the controllers' together: each live one takes an equal share.
+  // The limits are the controllers' together: each live one takes an equal share. Once the state
+  // service refuses by rate, its lower limit (`state.next`) counts, if one was announced.
   void tick(double now, int sharers);
   double writes_per_s() const { return writes_per_s_; }
   double last_answer() const { return last_answer_; }
@@ -96,12 +98,17 @@
 
  private:
   void note(const core::CallDone& done);
+  TxnResult result_of(const core::CallDone& done);
+  double write_limit() const {
+    return lowered_ ? settings_.state_next_write_rps : settings_.state_write_rps;
+  }
 
   const PlatformSettings& settings_;
   CallFn call_;
   RateLimit requests_, writes_;
   double now_ = 0, last_answer_ = 0, last_failure_ = -1, failing_since_ = 0, kept_ = 0,
          writes_per_s_;
+  bool lowered_ = false;
 };
 
 }  // namespace rooksill::state
--- a/src/rooksill/state/committer.cc
+++ b/src/rooksill/state/committer.cc
@@ -1,5 +1,7 @@
 #include "rooksill/state/committer.h"
 
+#include "rooksill/core/codec.h"
+
 namespace rooksill::state {
 
 using nlohmann::json;
@@ -54,7 +56,10 @@
     auto at = refreshes_.find(id);
     if (at == refreshes_.end()) return;
     at->second.busy = false;
-    if (read.answered) {
+    // A page of machines that is read alone may lack what a split has put on another page: a
+    // machine would look gone. It is left to the watch, which brings both.
+    const bool ahead = core::is_machines_key(key) && read.stamp > replica_.synced_epoch;
+    if (read.answered && !ahead) {
       if (read.found) replica_.apply(key, read.value, read.stamp);
       ++at->second.answered;
     } else {
--- a/src/rooksill/worker/codec.cc
+++ b/src/rooksill/worker/codec.cc
@@ -32,7 +32,8 @@
 }
 
 std::optional<Phase> parse_phase(const std::string& s) {
-  if (s == "pulling" || s == "gathering") return Phase::kFetching;
+  if (s == "pulling") return Phase::kFetching;
+  if (s == "gathering") return Phase::kGathering;
   if (s == "running") return Phase::kRunning;
   if (s == "saving") return Phase::kSaving;
   if (s == "exited") return Phase::kExited;
@@ -41,8 +42,9 @@
 
 Cause parse_cause(const std::string& s) {
   if (s == "done") return Cause::kDone;
-  // A gang's task that ends because of the others says nothing of its machine.
-  if (s == "stopped" || s == "mates_gone" || s == "alone") return Cause::kStopped;
+  if (s == "stopped") return Cause::kStopped;
+  if (s == "mates_gone") return Cause::kMatesGone;
+  if (s == "alone") return Cause::kAlone;
   if (s == "no_room") return Cause::kNoRoom;
   if (s == "busy") return Cause::kBusy;
   if (s == "no_such") return Cause::kUnknownTask;
--- a/src/rooksill/worker/codec.h
+++ b/src/rooksill/worker/codec.h
@@ -9,8 +9,20 @@
 
 namespace rooksill::worker {
 
-enum class Phase { kFetching, kRunning, kSaving, kExited };
-enum class Cause { kNone, kDone, kStopped, kError, kNoRoom, kBusy, kUnknownTask };
+// kGathering: a gang's task that has its image and waits for the others.
+enum class Phase { kFetching, kGathering, kRunning, kSaving, kExited };
+// kMatesGone, kAlone: a gang's task that ended because of the others; says nothing of its machine.
+enum class Cause {
+  kNone,
+  kDone,
+  kStopped,
+  kMatesGone,
+  kAlone,
+  kError,
+  kNoRoom,
+  kBusy,
+  kUnknownTask
+};
 
 struct ReportedTask {
   core::TaskRef task;
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -88,6 +88,7 @@
   j.truth.image = l.text("image", "img-1");
   j.truth.tasks = static_cast<int>(l.get("tasks", 1));
   j.truth.service = l.text("shape", "batch") == "service";
+  j.truth.gang = l.text("shape", "batch") == "ensemble";
   j.truth.fails = l.get("fails", 0) != 0;
   j.truth.cpus = l.get("cpus", 2);
   j.truth.memory_gb = l.get("memory", 2);
@@ -200,6 +201,11 @@
     options_.cloud_rps = l.get("cloud", options_.cloud_rps);
     options_.value_bytes = static_cast<size_t>(l.get("value", 8192));
     options_.txn_ops = static_cast<size_t>(l.get("ops", 32));
+    options_.gang_wait_s = l.get("gang_wait", options_.gang_wait_s);
+    options_.gang_peer_s = l.get("gang_peer", options_.gang_peer_s);
+    options_.next_write_rps = l.get("next_writes", 0);
+    options_.next_txn_ops = static_cast<size_t>(l.get("next_ops", 0));
+    options_.next_value_bytes = static_cast<size_t>(l.get("next_value", 0));
   }
 
   int node_of(const std::string& word) {
@@ -238,6 +244,8 @@
       world().refuse(node_of(l.word(1)), for_s);
     } else if (verb == "freeze") {
       world().freeze(node_of(l.word(1)), for_s);
+    } else if (verb == "lower_limits") {
+      world().lower_limits();
     } else if (verb == "state_outage") {
       world().state_outage(for_s);
     } else if (verb == "cloud_outage") {
--- a/tests/standins/state_service.h
+++ b/tests/standins/state_service.h
@@ -25,6 +25,12 @@
               const std::string& body, Later later);
   void tick(double now);  // ends leases and watches
   void set_outage(double now, bool on);
+  // From now on a larger value or transaction gets 400.
+  void lower(double write_rps, size_t value_bytes, size_t txn_ops) {
+    write_rps_ = write_rps;
+    value_bytes_ = value_bytes;
+    txn_ops_ = txn_ops;
+  }
 
   std::vector<std::string> broken;  // limits that were passed
   uint64_t refused = 0, requests = 0, writes = 0;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -21,8 +21,12 @@
 struct WorldOptions {
   int nodes = 3;
   double report_s = 1, lease_s = 8, cancel_s = 15;
+  double gang_wait_s = 12, gang_peer_s = 2;
   double state_rps = 300, write_rps = 90;
   size_t txn_ops = 32, value_bytes = 8192;
+  // The state service's limits once it lowers them; 0: it does not.
+  double next_write_rps = 0;
+  size_t next_txn_ops = 0, next_value_bytes = 0;
   double cloud_rps = 5, list_lag_s = 3;
   uint64_t seed = 1;
   bool verbose = false;
@@ -87,6 +91,8 @@
   void cancel_now(int count, double hang_s);
   void cancel_at_end(double chance, double for_s);  // at the moment that a job's last task ends
   void odd_requests(double for_s);
+  // The state service lowers its limits to those announced.
+  void lower_limits();
 
   int leader() const;
   double now() const { return now_; }
@@ -175,6 +181,7 @@
   std::map<std::string, UserJob> jobs_;
   std::map<TaskKey, std::map<std::string, uint64_t>> on_;  // machines that a task is on
   std::set<TaskKey> completed_;
+  std::map<std::pair<std::string, uint64_t>, GangAttempt> gangs_;  // by job and attempt
   std::map<TaskKey, double> saved_;
   std::map<std::string, int> starts_;
   std::map<std::string, std::pair<double, double>> teams_;
