--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -17,7 +17,9 @@
 namespace {
 constexpr double kSafety = 0.9;        // part of a lease's time that its owner counts on
 constexpr double kRerouteReports = 1;  // how long a chunk waits in a block before another is tried
-constexpr size_t kTurnJobs = 20;       // waiting jobs whose routes are looked at with each tick
+constexpr double kGangRerouteReports =
+    0.25;                                // the same of a gang, which all or nothing is placed of
+constexpr size_t kTurnJobs = 20;         // waiting jobs whose routes are looked at with each tick
 constexpr size_t kTurnsPerReroute = 10;  // or such a part of them
 constexpr double kGatherReports = 0.2;   // from a process's start until it leads without the others
 constexpr double kSettleReports = 2;  // how long a peer must be back before it holds blocks again
@@ -362,7 +364,7 @@
   }
 }
 
-int Leader::choose_block(const Job& job, uint32_t chunk) {
+int Leader::choose_block(const Job& job, uint32_t chunk, int tried) {
   const JobSpec& s = job.spec;
   const size_t blocks = replica_.leases.size();
   pools_.resize(blocks);
@@ -442,6 +444,9 @@
     if (s.cpus > 0) score[b] += 2 * std::min(unplaced, std::floor(lower / s.cpus));
     score[b] +=
         10 * std::min(fit, wanted) + 5 * std::min(cached, wanted) + 0.01 * std::min(fit, 100.0);
+    // Sums over machines say too much of room for a whole gang: where it found none, another block
+    // that seems to have it is tried.
+    if (block == tried) score[b] /= 2;
     // Among equals, jobs are dealt out evenly.
     score[b] += 0.001 * static_cast<double>((std::hash<std::string>{}(s.id) + chunk + b) % blocks);
   }
@@ -484,7 +489,7 @@
 
 void Leader::route(const std::set<std::string>& jobs) {
   const double now = ctx_.now.steady;
-  const double patience = kRerouteReports * ctx_.settings.platform.report_s;
+  const double report = ctx_.settings.platform.report_s;
   // Holders that hear no leader place what falls to them by a rule; so does the leader then.
   const bool apart =
       std::any_of(replica_.leases.begin(), replica_.leases.end(), [&](const auto& l) {
@@ -495,6 +500,8 @@
     const Job* found = replica_.job(id);
     if (found == nullptr || replica_.waiting_jobs.count(id) == 0) continue;
     const Job& job = *found;
+    const bool gang = job.spec.shape == Shape::kGang;
+    const double patience = (gang ? kGangRerouteReports : kRerouteReports) * report;
     int together = -1;
     for (uint32_t c = 0; c < job.chunks.size(); ++c) {
       const Chunk& chunk = job.chunks[c];
@@ -508,10 +515,10 @@
       } else if (apart) {
         block = placement::dealt_block(ctx_.settings, replica_, job, c, ctx_.now.wall);
       } else {
-        block = choose_block(job, c);
+        block = choose_block(job, c, gang && it != routes_.end() ? it->second.block : -1);
       }
       // One block at a time decides for a job whose tasks depend on each other's places.
-      if (job.spec.one_zone || job.spec.spread || job.spec.shape == Shape::kGang) together = block;
+      if (job.spec.one_zone || job.spec.spread || gang) together = block;
       if (it != routes_.end() && it->second.block == block) {
         if (now - it->second.since >= patience) it->second.since = now;
         continue;
--- a/src/rooksill/core/leader.h
+++ b/src/rooksill/core/leader.h
@@ -53,7 +53,8 @@
   void refresh_limits();
   void route(const std::set<std::string>& jobs);
   void send_routes();
-  int choose_block(const Job& job, uint32_t chunk);
+  // `tried`: the block where a gang found no room; -1: none yet.
+  int choose_block(const Job& job, uint32_t chunk, int tried);
 
   Context& ctx_;
   Replica& replica_;
