--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -34,6 +34,7 @@
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
 constexpr double kDecidedAhead = 0.25;  // s of writes that decisions may wait for
+constexpr int kFirstDecision = 1;       // rank of decisions of the highest priority
 constexpr int kGathered = 5;            // rank of results that complete nothing
 }  // namespace
 
@@ -634,8 +635,11 @@
   return false;
 }
 
+// A gang's place holds room on many machines until it is written, and all of its tasks wait for it:
+// it goes with the first, as a replica's does.
 int Holder::decision_rank(const JobSpec& s) {
-  return 1 + static_cast<int>(Priority::kProd) - static_cast<int>(s.priority);
+  if (s.shape == Shape::kGang) return kFirstDecision;
+  return kFirstDecision + static_cast<int>(Priority::kProd) - static_cast<int>(s.priority);
 }
 
 // A place that is decided and waits for its write is kept from everybody. Where writes are few, no
