A chunk's changes become a transaction in small steps; no value outgrows the limits to come

flush_group was one function of 110 lines: what is out of date, what a value takes, what the changes rest on and the transaction are apart now.

--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -30,7 +30,9 @@
 constexpr size_t kMaxOrders = 64;    // in one command
 constexpr size_t kTurns = 16;        // calls in which all views and addresses are told again
 constexpr double kDeferReports = 3;  // results that complete nothing are gathered for so long
-constexpr double kTxnShare = 0.6;    // part of a second's writes that one transaction may take
+constexpr size_t kGroupBytes =
+    size_t{40} * 1024;             // of a transaction, well below the protocol's most
+constexpr double kTxnShare = 0.6;  // part of a second's writes that one transaction may take
 // Parts of the writes left to others: by decisions to results, by gathered results to both.
 constexpr double kDecisionReserve = 0.1, kGatheredReserve = 0.4;
 constexpr double kDecidedAhead = 0.25;  // s of writes that decisions may wait for
@@ -725,36 +727,29 @@
   return true;
 }
 
-// All tasks of an attempt are placed by one change, or none is; and all are done when one is. Says
-// whether the change places tasks.
-bool Holder::keep_gang_whole(const Job& job, const ChunkId& id, ChunkWork& work,
+// All tasks of an attempt are placed by one change, or none is; and all are done when one is.
+void Holder::keep_gang_whole(const Job& job, const ChunkId& id, ChunkWork& work,
                              std::vector<TaskState>& tasks) {
   if (std::any_of(tasks.begin(), tasks.end(), [](const TaskState& t) { return t.done; })) {
     for (auto& t : tasks) {
       t.machine.clear();
       t.done = true;
     }
-    return false;
+    return;
   }
   const auto is_place = [](const auto& c) { return c.second.kind == Change::Kind::kPlace; };
   const auto places = std::count_if(work.waiting.begin(), work.waiting.end(), is_place);
-  if (places == 0) return false;
   const bool whole = static_cast<size_t>(places) == tasks.size() &&
                      std::all_of(tasks.begin(), tasks.end(), [&](const TaskState& t) {
                        return t.attempt == tasks.front().attempt;
                      });
-  if (whole) return true;
+  if (whole) return;
   for (auto c = work.waiting.begin(); c != work.waiting.end();) {
-    if (!is_place(*c)) {
+    if (is_place(*c))
+      c = drop_waiting(job, id, work, c, tasks);
+    else
       ++c;
-      continue;
-    }
-    const auto dropped = *c;
-    c = work.waiting.erase(c);
-    tasks[dropped.first] = job.chunks[id.second].tasks[dropped.first];
-    drop_change(id, dropped.first, dropped.second);
   }
-  return false;
 }
 
 void Holder::flush() {
@@ -765,6 +760,126 @@
   }
 }
 
+// What a chunk's waiting changes come to. Those that are out of date are dropped; false if nothing
+// is left to be written.
+bool Holder::apply_waiting(const Job& job, const ChunkId& id, ChunkWork& work, ChunkWrite& out) {
+  const Chunk& chunk = job.chunks[id.second];
+  out.tasks = chunk.tasks;
+  for (auto c = work.waiting.begin(); c != work.waiting.end();) {
+    if (!apply_change(job, chunk, out.tasks[c->first], c->second))
+      c = drop_waiting(job, id, work, c, out.tasks);
+    else
+      ++c;
+  }
+  if (job.spec.shape == Shape::kGang) keep_gang_whole(job, id, work, out.tasks);
+  return !work.waiting.empty();
+}
+
+// Takes a change back that waits to be written.
+Holder::Changes::iterator Holder::drop_waiting(const Job& job, const ChunkId& id, ChunkWork& work,
+                                               Changes::iterator at,
+                                               std::vector<TaskState>& tasks) {
+  const auto [index, change] = *at;
+  tasks[index] = job.chunks[id.second].tasks[index];
+  const auto next = work.waiting.erase(at);
+  drop_change(id, index, change);
+  return next;
+}
+
+// Whether the chunk's value is one that the state service takes, also with the limits to come. With
+// names of unusual length places are given up until it is. A value from before the limits were
+// lowered may be too large without any: it waits until enough of its tasks have ended.
+bool Holder::fits_value(const Job& job, const ChunkId& id, ChunkWork& work, ChunkWrite& out) {
+  const size_t most = ctx_.settings.platform.state_value_bytes;
+  const bool gang = job.spec.shape == Shape::kGang;
+  for (auto c = work.waiting.end(); out.value.dump().size() > most;) {
+    while (c != work.waiting.begin() && std::prev(c)->second.kind != Change::Kind::kPlace) --c;
+    if (c == work.waiting.begin() || gang) return false;
+    c = drop_waiting(job, id, work, std::prev(c), out.tasks);
+    out.value = encode_chunk(out.tasks);
+  }
+  return !work.waiting.empty();
+}
+
+// The revisions that a chunk's changes rest on.
+void Holder::guard_changes(const Job& job, const ChunkId& id, const ChunkWork& work,
+                           ChunkWrite& out) const {
+  bool places = false;
+  for (const auto& [i, c] : work.waiting) {
+    places = places || c.kind == Change::Kind::kPlace;
+    out.guards[lease_key(c.block)] = c.lease;
+    if (!c.from.empty()) out.guards[lease_key(c.from_block)] = c.from_lease;
+  }
+  out.guards[chunk_key(id.first, id.second)] = job.chunks[id.second].stamp;
+  if (places || out.last) out.guards[job_key(id.first)] = job.stamp;
+  // Where a task may go depends on where the job's others are, in whatever chunk.
+  if (places && (job.spec.spread || job.spec.one_zone))
+    for (uint32_t c = 0; c < job.chunks.size(); ++c)
+      out.guards[chunk_key(id.first, c)] = job.chunks[c].stamp;
+}
+
+// Adds a chunk's waiting changes to the transaction, as far as they are still of use.
+Holder::Added Holder::add_to_group(const ChunkId& id, Group& group) {
+  ChunkWork& work = work_[id];
+  const Job* job = replica_.job(id.first);
+  ChunkWrite write;
+  const bool known = job != nullptr && id.second < job->chunks.size();
+  if (!known)
+    for (const auto& [i, c] : std::exchange(work.waiting, {})) drop_change(id, i, c);
+  if (!known || !apply_waiting(*job, id, work, write)) {
+    unqueue(id, work);
+    work_.erase(id);
+    return Added::kNothing;
+  }
+  const Chunk& chunk = job->chunks[id.second];
+  uint32_t done = job->done - chunk.done, on_machines = 0;
+  for (const auto& t : write.tasks) {
+    done += t.done ? 1 : 0;
+    on_machines += t.machine.empty() ? 0 : 1;
+  }
+  const bool finishes = done == job->spec.tasks && !job->over();
+  // What a job that is over leaves behind is of no use to anybody.
+  write.last = finishes || (job->over() && on_machines == 0);
+  if (!write.last) {
+    write.value = encode_chunk(write.tasks);
+    if (!fits_value(*job, id, work, write)) {
+      ctx_.count("too_large");
+      return Added::kNothing;
+    }
+  }
+  guard_changes(*job, id, work, write);
+  const auto fresh = std::count_if(write.guards.begin(), write.guards.end(),
+                                   [&](const auto& g) { return group.guards.count(g.first) == 0; });
+  const size_t most_guards = ctx_.settings.platform.state_txn_ops * 4;
+  if (group.guards.size() + static_cast<size_t>(fresh) > most_guards && !group.chunks.empty())
+    return Added::kFull;
+  group.guards.insert(write.guards.begin(), write.guards.end());
+  group.add({chunk_key(id.first, id.second), std::move(write.value), 0});
+  if (finishes) {
+    Job ended;
+    ended.spec.tasks = job->spec.tasks;
+    ended.end = JobEnd::kDone;
+    group.add({job_key(id.first), encode_job(ended), 0});
+  }
+  unqueue(id, work);
+  for (const auto& [i, c] : work.waiting)
+    ctx_.count(c.kind == Change::Kind::kPlace  ? "tasks_placed"
+               : c.kind == Change::Kind::kLost ? "tasks_lost"
+                                               : "tasks_done");
+  work.sent = std::exchange(work.waiting, {});
+  work.sent_on = chunk.stamp;
+  work.busy = true;
+  group.chunks.push_back(id);
+  return Added::kChunk;
+}
+
+void Holder::Group::add(state::Write write) {
+  constexpr size_t kAround = 200;  // bytes of a write besides its value, and of its guards
+  keys.push_back(write.key);
+  if (!write.value.is_null()) bytes += write.value.dump().size() + kAround;
+  writes.push_back(std::move(write));
+}
+
 void Holder::flush_group() {
   if (in_flight_ >= kMaxInFlight || queue_.empty() || ctx_.now.steady < backoff_until_) return;
   const auto& p = ctx_.settings.platform;
@@ -772,114 +887,37 @@
       2,
       std::min<size_t>(p.state_txn_ops, static_cast<size_t>(client_.writes_per_s() * kTxnShare)));
   const double gather = kDeferReports * p.report_s;
-  std::map<std::string, uint64_t> guards;
-  std::vector<state::Write> writes;
-  std::vector<ChunkId> chunks;
-  std::vector<std::string> keys;  // to be read back when the outcome is unknown
-  size_t bytes = 0;
+  Group group;
   auto may_add = [&](int rank) {
     const double reserve = rank == 0 ? 0 : rank < kGathered ? kDecisionReserve : kGatheredReserve;
     // The next chunk may end its job, which is a write more.
-    return client_.room_for(static_cast<double>(writes.size()) + 2 + client_.kept(), reserve);
+    return client_.room_for(static_cast<double>(group.writes.size()) + 2 + client_.kept(), reserve);
   };
   for (auto q = queue_.begin(); q != queue_.end();) {
     const auto [rank, since] = q->first;
     const ChunkId id = q->second;
-    if (!may_add(rank) || writes.size() + 2 > most || bytes > size_t{40} * 1024) break;
+    if (!may_add(rank) || group.writes.size() + 2 > most || group.bytes > kGroupBytes) break;
     if (rank == kGathered && ctx_.now.steady - since < gather) break;
     ++q;
-    ChunkWork& work = work_[id];
-    const Job* job = replica_.job(id.first);
-    if (job == nullptr || id.second >= job->chunks.size()) {
-      unqueue(id, work);
-      for (const auto& [i, c] : work.waiting) drop_change(id, i, c);
-      work_.erase(id);
-      continue;
-    }
-    const Chunk& chunk = job->chunks[id.second];
-    std::vector<TaskState> tasks = chunk.tasks;
-    std::map<std::string, uint64_t> extra;
-    bool places = false;
-    for (auto c = work.waiting.begin(); c != work.waiting.end();) {
-      if (!apply_change(*job, chunk, tasks[c->first], c->second)) {
-        const auto dropped = *c;
-        c = work.waiting.erase(c);
-        drop_change(id, dropped.first, dropped.second);
-        continue;
-      }
-      places = places || c->second.kind == Change::Kind::kPlace;
-      extra[lease_key(c->second.block)] = c->second.lease;
-      if (!c->second.from.empty()) extra[lease_key(c->second.from_block)] = c->second.from_lease;
-      ++c;
-    }
-    if (job->spec.shape == Shape::kGang) places = keep_gang_whole(*job, id, work, tasks);
-    if (work.waiting.empty()) {
-      unqueue(id, work);
-      work_.erase(id);
-      continue;
-    }
-    const auto key = chunk_key(id.first, id.second);
-    extra[key] = chunk.stamp;
-    if (places) {
-      extra[job_key(id.first)] = job->stamp;
-      // Where a task may go depends on where the job's others are, in whatever chunk.
-      if (job->spec.spread || job->spec.one_zone)
-        for (uint32_t c = 0; c < job->chunks.size(); ++c)
-          extra[chunk_key(id.first, c)] = job->chunks[c].stamp;
-    }
-    uint32_t done = job->done - chunk.done, on_machines = 0;
-    for (const auto& t : tasks) {
-      done += t.done ? 1 : 0;
-      on_machines += t.machine.empty() ? 0 : 1;
-    }
-    const bool finishes = done == job->spec.tasks && !job->over();
-    // What a job that is over leaves behind is of no use to anybody.
-    const bool last = finishes || (job->over() && on_machines == 0);
-    if (last) extra[job_key(id.first)] = job->stamp;
-    size_t fresh = 0;
-    for (const auto& [k, s] : extra) fresh += guards.count(k) == 0 ? 1 : 0;
-    if (guards.size() + fresh > p.state_txn_ops * 4 && !chunks.empty()) break;
-    guards.insert(extra.begin(), extra.end());
-    keys.push_back(key);
-    if (last) {
-      writes.push_back({key, nullptr, 0});
-    } else {
-      auto value = encode_chunk(tasks);
-      bytes += value.dump().size() + 200;
-      writes.push_back({key, std::move(value), 0});
-    }
-    if (finishes) {
-      Job ended;
-      ended.spec.tasks = job->spec.tasks;
-      ended.end = JobEnd::kDone;
-      writes.push_back({job_key(id.first), encode_job(ended), 0});
-      keys.push_back(job_key(id.first));
-    }
-    unqueue(id, work);
-    ctx_.count(rank == 0 ? "results" : rank < kGathered ? "decisions" : "gathered");
-    for (const auto& [i, c] : work.waiting)
-      ctx_.count(c.kind == Change::Kind::kPlace  ? "tasks_placed"
-                 : c.kind == Change::Kind::kLost ? "tasks_lost"
-                                                 : "tasks_done");
-    work.sent = std::move(work.waiting);
-    work.sent_on = chunk.stamp;
-    work.waiting.clear();
-    work.busy = true;
-    chunks.push_back(id);
+    const Added added = add_to_group(id, group);
+    if (added == Added::kFull) break;
+    if (added == Added::kChunk)
+      ctx_.count(rank == 0 ? "results" : rank < kGathered ? "decisions" : "gathered");
   }
-  if (chunks.empty()) return;
-  std::vector<state::Guard> guard_list;
-  guard_list.reserve(guards.size());
-  for (const auto& [k, s] : guards) guard_list.push_back({k, s});
-  bool sent = committer_.commit(guard_list, std::move(writes),
-                                [this, chunks, keys](const state::TxnResult& r) {
-                                  --in_flight_;
-                                  settle(chunks, r, keys);
-                                });
+  if (group.chunks.empty()) return;
+  std::vector<state::Guard> guards;
+  guards.reserve(group.guards.size());
+  for (const auto& [k, s] : group.guards) guards.push_back({k, s});
+  bool sent = committer_.commit(
+      guards, std::move(group.writes),
+      [this, chunks = group.chunks, keys = group.keys](const state::TxnResult& r) {
+        --in_flight_;
+        settle(chunks, r, keys);
+      });
   if (sent)
     ++in_flight_;
   else
-    send_again(chunks);
+    send_again(group.chunks);
 }
 
 void Holder::send_again(const std::vector<ChunkId>& chunks) {
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -125,13 +125,31 @@
   // In which order changes go out. Results that complete a job or would be lost first, then
   // decisions and losses by priority; results that complete nothing wait for writes to spare.
   using Rank = std::pair<int, double>;
+  using Changes = std::map<uint32_t, Change>;  // by the task's place in its chunk
   struct ChunkWork {
-    std::map<uint32_t, Change> waiting, sent;
+    Changes waiting, sent;
     uint64_t sent_on = 0;  // revision of the chunk that `sent` goes with
     bool busy = false;
     std::optional<Rank> queued;
     double since = 0;
   };
+  // A chunk as it is to be written, with the revisions that this rests on.
+  struct ChunkWrite {
+    std::vector<TaskState> tasks;
+    nlohmann::json value;  // null: the chunk is deleted with its job's end
+    std::map<std::string, uint64_t> guards;
+    bool last = false;
+  };
+  // A transaction in the making.
+  struct Group {
+    std::map<std::string, uint64_t> guards;
+    std::vector<state::Write> writes;
+    std::vector<ChunkId> chunks;
+    std::vector<std::string> keys;  // to be read back when the outcome is unknown
+    size_t bytes = 0;
+    void add(state::Write write);
+  };
+  enum class Added { kChunk, kNothing, kFull };
   struct ZoneCheck {
     double asked = -1e9;
     int sent = 0, answered = 0;
@@ -180,6 +198,13 @@
                          const std::function<void(worker::Order)>& order);
   std::optional<worker::Order> order_for(Worker& w, const worker::ReportedTask& t, const Job& job);
   bool apply_change(const Job& job, const Chunk& chunk, TaskState& state, const Change& c) const;
+  bool apply_waiting(const Job& job, const ChunkId& id, ChunkWork& work, ChunkWrite& out);
+  Changes::iterator drop_waiting(const Job& job, const ChunkId& id, ChunkWork& work,
+                                 Changes::iterator at, std::vector<TaskState>& tasks);
+  bool fits_value(const Job& job, const ChunkId& id, ChunkWork& work, ChunkWrite& out);
+  void guard_changes(const Job& job, const ChunkId& id, const ChunkWork& work,
+                     ChunkWrite& out) const;
+  Added add_to_group(const ChunkId& id, Group& group);
   void flush_group();
   void settle(const std::vector<ChunkId>& chunks, const state::TxnResult& result,
               std::vector<std::string> keys);
@@ -219,7 +244,7 @@
   std::map<int, double> gang_tasks_left(const JobSpec& s);
   void place_gang(const Candidate& c, const std::vector<Worker*>& workers);
   void make_room_for_gang(const Job& job, const std::vector<Worker*>& workers);
-  bool keep_gang_whole(const Job& job, const ChunkId& id, ChunkWork& work,
+  void keep_gang_whole(const Job& job, const ChunkId& id, ChunkWork& work,
                        std::vector<TaskState>& tasks);
   double reserve(const JobSpec& s, const Room& r) const;
   double due_time(const Job& job) const;
--- a/src/rooksill/core/upgrade.cc
+++ b/src/rooksill/core/upgrade.cc
@@ -38,6 +38,7 @@
   record.version = kPresentVersion;
   record.incarnation = ctx_.incarnation;
   const std::string key = version_key(label);
+  ctx_.info("upgrade", "records version {} of {}", kPresentVersion, label);
   commit({{key, known}}, {key, encode_version(record), 0});
 }
 
