--- a/src/rooksill/core/cancellations.cc
+++ b/src/rooksill/core/cancellations.cc
@@ -5,7 +5,10 @@
 namespace rooksill::core {
 
 namespace {
-constexpr size_t kKept = 4096;  // that some peer has not confirmed; beyond, only the state tells
+// Of those that some peer has not confirmed, whatever the number of machines or jobs. A peer that
+// lacks more than these confirms them once it has asked the state, and vouches for nothing before:
+// a bound here costs time in an outage, never a cancellation.
+constexpr size_t kKept = 4096;
 constexpr size_t kPerMessage = 500;
 constexpr size_t kSamples = 32;
 constexpr double kAgainReports = 0.3;  // until what is not confirmed is sent again
--- /dev/null
+++ b/tests/runner/settings.cc
@@ -0,0 +1,64 @@
+#include "rooksill/settings/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include "runner/kinds.h"
+
+namespace runner {
+
+namespace {
+
+const char* const kSettings = R"({
+  "label": "c0", "site": "a", "api_addr": "10.0.0.1:8080", "back": "10.0.0.1:8081", "siblings": [],
+  "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+  "facts": {
+    "count": 1, "zones": ["a"], "teams": [{"name": "team-a", "cpus": 0, "cpus_max": 0}],
+    "workers": {"report_s": 3, "lease_s": 22, "gang_wait_s": 50, "gang_peer_s": 5, "cancel_s": 42},
+    "state": {"rps": 150, "write_rps": 50, "value_kb": 8, "txn_ops": 40,
+              "next": {"write_rps": 35, "value_kb": 2, "txn_ops": 13}},
+    "cloud": {"rps": 1.5, "list_lag_s": 12},
+    "resources": {"cores": 0.24, "mem_mb": 104, "max_sockets": 2000}, "clock_error_ms": 100}})";
+
+// "a.b" as the pointer "/a/b".
+nlohmann::json::json_pointer pointer(const std::string& field) {
+  std::string path;
+  for (const auto& part : split(field, '.')) path += "/" + part;
+  return nlohmann::json::json_pointer(path);
+}
+
+void check(const Line& line, const rooksill::PlatformSettings& s) {
+  if (line.named.count("is.value_bytes") != 0)
+    near(line, static_cast<double>(s.state_value_bytes), line.get("is.value_bytes", 0), 0);
+  if (line.named.count("is.txn_ops") != 0)
+    near(line, static_cast<double>(s.state_txn_ops), line.get("is.txn_ops", 0), 0);
+  if (line.named.count("is.next_write_rps") != 0)
+    near(line, s.state_next_write_rps, line.get("is.next_write_rps", 0), 0);
+}
+
+}  // namespace
+
+void run_settings(const std::vector<Line>& lines) {
+  for (const auto& line : lines) {
+    const std::string verb = line.word(0);
+    if (verb == "kind") continue;
+    auto settings = nlohmann::json::parse(kSettings);
+    for (const auto& [field, value] : line.named) {
+      if (field.rfind("is.", 0) == 0) continue;
+      if (value == "drop")
+        settings = settings.patch({{{"op", "remove"}, {"path", pointer(field).to_string()}}});
+      else
+        settings[pointer(field)] = nlohmann::json::parse(value);
+    }
+    std::string refused;
+    try {
+      check(line, rooksill::parse_platform(settings.dump()));
+    } catch (const rooksill::SettingsError& error) {
+      refused = error.what();
+    }
+    if (verb == "accept" && !refused.empty()) fail(line, refused);
+    if (verb == "refuse" && refused.find(line.word(1)) == std::string::npos)
+      fail(line, refused.empty() ? "accepted" : refused);
+  }
+}
+
+}  // namespace runner
