--- a/tests/runner/kinds.h
+++ b/tests/runner/kinds.h
@@ -18,6 +18,8 @@
 void run_fuzz(const std::vector<Line>& lines);
 // Values and messages of the version before upgrade records.
 void run_recorded(const std::vector<Line>& lines);
+// A controller's copy of the lists of machines.
+void run_replica(const std::vector<Line>& lines);
 // The platform's settings, with single fields set: accepted, or refused with the field's name.
 void run_settings(const std::vector<Line>& lines);
 
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -30,6 +30,8 @@
       runner::run_http(lines);
     } else if (kind == "recorded") {
       runner::run_recorded(lines);
+    } else if (kind == "replica") {
+      runner::run_replica(lines);
     } else if (kind == "settings") {
       runner::run_settings(lines);
     } else if (kind == "fuzz") {
