--- a/src/rooksill/core/upgrade.cc
+++ b/src/rooksill/core/upgrade.cc
@@ -61,10 +61,10 @@
   for (const auto& label : labels)
     guards.push_back({version_key(label), replica_.versions[label].stamp});
   ctx_.info("upgrade", "all {} controllers have version {}", labels.size(), kPresentVersion);
-  commit(std::move(guards), {kUpgradeKey, encode_upgrade({0, kPresentVersion}), 0});
+  commit(guards, {kUpgradeKey, encode_upgrade({0, kPresentVersion}), 0});
 }
 
-void Upgrade::commit(std::vector<state::Guard> guards, state::Write write) {
+void Upgrade::commit(const std::vector<state::Guard>& guards, state::Write write) {
   next_try_ = ctx_.now.steady + kRetryReports * ctx_.settings.platform.report_s;
   const std::string key = write.key;
   busy_ = committer_.commit(guards, {std::move(write)}, [this, key](const state::TxnResult& r) {
--- a/src/rooksill/core/upgrade.h
+++ b/src/rooksill/core/upgrade.h
@@ -38,7 +38,7 @@
   void write_upgrade();
   // Whether the process that runs under this label is known to have recorded the present version.
   bool has_present_version(const std::string& label) const;
-  void commit(std::vector<state::Guard> guards, state::Write write);
+  void commit(const std::vector<state::Guard>& guards, state::Write write);
 
   Context& ctx_;
   Replica& replica_;
--- a/src/rooksill/placement/gang_placer.cc
+++ b/src/rooksill/placement/gang_placer.cc
@@ -106,7 +106,9 @@
   const auto attempt = next_gang_attempt(job);
   if (!attempt) return;
   const auto options = gang_options(job, workers);
-  const auto plan = placement::plan_gang(options, s.tasks, gang_tasks_left(s), s.one_zone);
+  const placement::GangDemand demand{s.tasks, s.one_zone, s.spread ? s.most_in_zone() : s.tasks,
+                                     gang_tasks_left(s)};
+  const auto plan = placement::plan_gang(options, demand);
   if (plan.empty()) return make_room_for_gang(job, workers);
   uint32_t next = 0;
   for (const auto& place : plan) {
--- a/src/rooksill/placement/gang_plan.cc
+++ b/src/rooksill/placement/gang_plan.cc
@@ -15,21 +15,27 @@
 };
 
 // Fills the options in the order given; nothing if they do not hold all tasks.
-Plan fill(const std::vector<GangOption>& options, const std::vector<size_t>& order, uint32_t tasks,
-          std::map<int, double> tasks_left) {
+Plan fill(const std::vector<GangOption>& options, const std::vector<size_t>& order,
+          const GangDemand& demand) {
   Plan plan;
-  uint32_t missing = tasks;
+  uint32_t missing = demand.tasks;
+  std::map<int, double> tasks_left = demand.tasks_left;
+  std::map<std::string, uint32_t> in_zone;
   for (size_t i : order) {
     if (missing == 0) break;
     const GangOption& option = options[i];
     double& left = tasks_left[option.block];
-    const double most = std::min<double>({double(option.slots), double(missing), left});
+    uint32_t& there = in_zone[option.zone];
+    const uint32_t zone_left = demand.most_in_zone - std::min(there, demand.most_in_zone);
+    const double most =
+        std::min<double>({double(option.slots), double(missing), double(zone_left), left});
     if (most < 1) continue;
     const auto here = static_cast<uint32_t>(most);
     plan.places.push_back({i, here});
     plan.start_s = std::max(plan.start_s, option.start_s);
     plan.score += option.score * here;
     left -= here;
+    there += here;
     missing -= here;
   }
   if (missing > 0) plan.places.clear();
@@ -38,15 +44,14 @@
 
 }  // namespace
 
-std::vector<GangPlace> plan_gang(const std::vector<GangOption>& options, uint32_t tasks,
-                                 const std::map<int, double>& tasks_left, bool one_zone) {
+std::vector<GangPlace> plan_gang(const std::vector<GangOption>& options, const GangDemand& demand) {
   std::vector<size_t> sorted(options.size());
   std::iota(sorted.begin(), sorted.end(), size_t{0});
   std::stable_sort(sorted.begin(), sorted.end(), [&](size_t a, size_t b) {
     return std::tie(options[a].start_s, options[a].score) <
            std::tie(options[b].start_s, options[b].score);
   });
-  if (!one_zone) return fill(options, sorted, tasks, tasks_left).places;
+  if (!demand.one_zone) return fill(options, sorted, demand).places;
   std::set<std::string> zones;
   for (const auto& option : options) zones.insert(option.zone);
   Plan best;
@@ -54,7 +59,7 @@
     std::vector<size_t> there;
     std::copy_if(sorted.begin(), sorted.end(), std::back_inserter(there),
                  [&](size_t i) { return options[i].zone == zone; });
-    Plan plan = fill(options, there, tasks, tasks_left);
+    Plan plan = fill(options, there, demand);
     if (plan.places.empty()) continue;
     if (best.places.empty() ||
         std::tie(plan.start_s, plan.score) < std::tie(best.start_s, best.score))
--- a/src/rooksill/placement/gang_plan.h
+++ b/src/rooksill/placement/gang_plan.h
@@ -24,10 +24,16 @@
   uint32_t tasks = 0;
 };
 
-// Places for all tasks, or none. `tasks_left` says by block how many more the team's share allows.
-// With `one_zone` all are in one zone. A gang starts when the last of its tasks can: of several
-// zones that could hold it, the one where that is soonest is taken.
-std::vector<GangPlace> plan_gang(const std::vector<GangOption>& options, uint32_t tasks,
-                                 const std::map<int, double>& tasks_left, bool one_zone);
+// What is to be placed, and how.
+struct GangDemand {
+  uint32_t tasks = 0;
+  bool one_zone = false;             // all of them in one zone
+  uint32_t most_in_zone = 0;         // of its tasks that one zone may have
+  std::map<int, double> tasks_left;  // by block: how many more the team's share allows
+};
+
+// Places for all tasks, or none. A gang starts when the last of its tasks can: of several zones
+// that could hold one that has to be in one zone, the one where that is soonest is taken.
+std::vector<GangPlace> plan_gang(const std::vector<GangOption>& options, const GangDemand& demand);
 
 }  // namespace rooksill::placement
