One piece for what stood twice: looking a job up, types a job allows, tasks that an amount holds

Users::refuse was look_up again without its bound on reads under way; look_up takes what is to be done when there is no such job. A chunk's value is serialised once for its size, not twice. Versions of envelopes and of records are one pair of constants. What a worker reports and what it does not report are judged by functions of one shape.

--- a/src/rooksill/api/users.cc
+++ b/src/rooksill/api/users.cc
@@ -64,8 +64,7 @@
   if (limit.cpus_max > 0 && s.cpus * count > limit.cpus_max) return "more than the team's limit";
   if (limit.gpus_max > 0 && s.gpus * count > limit.gpus_max) return "more than the team's limit";
   for (const auto& [name, t] : replica_.types) {
-    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), name) == s.types.end())
-      continue;
+    if (!s.allows_type(name)) continue;
     if (!s.zone.empty() && std::find(t.zones.begin(), t.zones.end(), s.zone) == t.zones.end())
       continue;
     if (s.cpus <= t.cpus && s.gpus <= t.gpus && s.memory_gb <= t.memory_gb) return "";
@@ -99,13 +98,9 @@
 // A job that can never run. Under its id another node may have accepted a job a moment ago that is
 // not known here yet: a repeat of that one is answered with its state, however it reads.
 void Users::refuse(uint64_t request, const std::string& id, const std::string& why) {
-  const bool sent = client_.read(core::job_key(id), [=, this](const state::ReadResult& r) {
-    if (!r.answered) return later(request);
-    if (!r.found) return ctx_.reply(request, 422, encode_error(why));
-    replica_.apply(core::job_key(id), r.value, r.stamp);
-    poll(request, id);
-  });
-  if (!sent) later(request);
+  look_up(
+      request, id, [this, request, id] { poll(request, id); },
+      [this, request, why] { ctx_.reply(request, 422, encode_error(why)); });
 }
 
 // Between two transactions of a kind, so that together they take no more than their share.
@@ -175,7 +170,8 @@
                     accepted_.push_back(c.job.spec.id);
                     answer(c.request, c.job.spec.id);
                   },
-                  true);
+                  // One that was not applied may be sent again; 404 would end it.
+                  [this, c] { later(c.request); });
             break;
         }
       });
@@ -186,20 +182,23 @@
   creations_.erase(creations_.begin(), creations_.begin() + static_cast<long>(taken));
 }
 
-// Reads a job that is not known here. `found` runs once it is in the replica.
+// Reads a job that is not known here.
+void Users::look_up(uint64_t request, const std::string& id, std::function<void()> found) {
+  look_up(request, id, std::move(found),
+          [this, request] { ctx_.reply(request, 404, encode_error("no such job")); });
+}
+
 void Users::look_up(uint64_t request, const std::string& id, std::function<void()> found,
-                    bool submission) {
+                    std::function<void()> absent) {
   if (lookups_ >= kMaxLookups) return later(request);
-  bool sent = client_.read(
-      core::job_key(id),
-      [this, request, id, submission, found = std::move(found)](const state::ReadResult& r) {
+  bool sent =
+      client_.read(core::job_key(id), [this, request, id, found = std::move(found),
+                                       absent = std::move(absent)](const state::ReadResult& r) {
         --lookups_;
         if (!r.answered) return later(request);
         if (r.found) replica_.apply(core::job_key(id), r.value, r.stamp);
         if (replica_.job(id) != nullptr) return found();
-        // A submission that was not applied may be sent again; 404 would end it.
-        if (submission) return later(request);
-        ctx_.reply(request, 404, encode_error("no such job"));
+        absent();
       });
   if (sent)
     ++lookups_;
@@ -265,11 +264,14 @@
   ended.submitted = job->submitted;
   ended.chunk_tasks = job->chunk_tasks;
   ended.end = JobEnd::kCancelled;
+  auto record = core::encode_job(ended);
   // A record from before the state service lowered its limits; its types are of no more use.
-  if (core::encode_job(ended).dump().size() > ctx_.settings.platform.state_value_bytes)
+  if (record.dump().size() > ctx_.settings.platform.state_value_bytes) {
     ended.spec.types.clear();
+    record = core::encode_job(ended);
+  }
   bool sent = committer_.commit(
-      {{core::job_key(id), job->stamp}}, {{core::job_key(id), core::encode_job(ended), 0}},
+      {{core::job_key(id), job->stamp}}, {{core::job_key(id), std::move(record), 0}},
       [this, request, id, tries](const state::TxnResult& r) {
         switch (r.outcome) {
           case Outcome::kApplied:
--- a/src/rooksill/api/users.h
+++ b/src/rooksill/api/users.h
@@ -39,8 +39,10 @@
   void poll(uint64_t request, const std::string& id);
   void cancel(uint64_t request, const std::string& id, int tries);
   void answer(uint64_t request, const std::string& id);
+  // `found` runs once the job is in the replica, `absent` if the state service has no such job.
   void look_up(uint64_t request, const std::string& id, std::function<void()> found,
-               bool submission = false);
+               std::function<void()> absent);
+  void look_up(uint64_t request, const std::string& id, std::function<void()> found);
   void later(uint64_t request);
   double pause(double share) const;
   void flush_creations();
--- a/src/rooksill/cloud/fleet.cc
+++ b/src/rooksill/cloud/fleet.cc
@@ -703,8 +703,7 @@
     if (!s.zone.empty() && to->zone != s.zone) continue;
     if (s.one_zone && to->zone != from.zone) continue;
     if (s.spread && zones[to->zone] >= s.most_in_zone()) continue;
-    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), to->type) == s.types.end())
-      continue;
+    if (!s.allows_type(to->type)) continue;
     if (std::find(v.images.begin(), v.images.end(), s.image) != v.images.end()) return true;
   }
   return false;
@@ -775,23 +774,17 @@
 // rented. Room for a part of them in each of several blocks is of no use: one holder places all.
 Fleet::GangHome Fleet::gang_home(const JobSpec& s, const std::vector<Space>& rooms,
                                  int only_block) const {
-  auto allowed_type = [&](const std::string& name) {
-    return s.types.empty() || std::find(s.types.begin(), s.types.end(), name) != s.types.end();
-  };
   std::map<std::pair<int, std::string>, double> tasks;  // by block and zone
   for (size_t b = 0; b < replica_.leases.size(); ++b)
     for (const auto& [name, type] : replica_.types) {
-      if (!allowed_type(name)) continue;
+      if (!s.allows_type(name)) continue;
       for (const auto& zone : type.zones)
         if (open({{name, false}, zone}) || (s.spot && open({{name, true}, zone})))
           tasks[{static_cast<int>(b), s.one_zone ? zone : ""}];
     }
   for (const auto& r : rooms) {
-    if (r.block < 0 || (r.spot && !s.spot) || !allowed_type(r.type->name)) continue;
-    double n = s.tasks;
-    if (s.cpus > 0) n = std::min(n, std::floor((r.cpus + 1e-9) / s.cpus));
-    if (s.memory_gb > 0) n = std::min(n, std::floor((r.memory + 1e-9) / s.memory_gb));
-    if (s.gpus > 0) n = std::min(n, std::floor((r.gpus + 1e-9) / s.gpus));
+    if (r.block < 0 || (r.spot && !s.spot) || !s.allows_type(r.type->name)) continue;
+    const double n = std::min<double>(s.tasks, s.tasks_in(r.cpus, r.gpus, r.memory));
     if (n >= 1) tasks[{r.block, s.one_zone ? r.zone : ""}] += n;
   }
   GangHome best;
@@ -845,20 +838,12 @@
       const uint32_t most_there = s.most_in_zone();
       return most_there - std::min(zones[zone], most_there);
     };
-    auto allowed_type = [&](const std::string& name) {
-      return s.types.empty() || std::find(s.types.begin(), s.types.end(), name) != s.types.end();
-    };
     uint32_t count = w.count;
     // As many tasks as a space takes, all at once: they are alike.
     auto fill = [&](Space& r) {
-      if ((r.spot && !s.spot) || !in_block(r.block) || !allowed_type(r.type->name)) return;
-      double n = std::min(count, zone_left(r.zone));
-      auto part = [&](double have, double need) {
-        if (need > 0) n = std::min(n, std::floor((have + 1e-9) / need));
-      };
-      part(r.cpus, s.cpus);
-      part(r.gpus, s.gpus);
-      part(r.memory, s.memory_gb);
+      if ((r.spot && !s.spot) || !in_block(r.block) || !s.allows_type(r.type->name)) return;
+      const double n = std::min<double>(std::min(count, zone_left(r.zone)),
+                                        s.tasks_in(r.cpus, r.gpus, r.memory));
       if (n < 1) return;
       r.cpus -= n * s.cpus;
       r.gpus -= n * s.gpus;
@@ -906,7 +891,7 @@
       const MachineType* best_type = nullptr;
       double best_cost = std::numeric_limits<double>::infinity();
       for (const auto& [name, t] : replica_.types) {
-        if (!allowed_type(name) || s.cpus > t.cpus || s.gpus > t.gpus || s.memory_gb > t.memory_gb)
+        if (!s.allows_type(name) || s.cpus > t.cpus || s.gpus > t.gpus || s.memory_gb > t.memory_gb)
           continue;
         for (bool spot : {true, false}) {
           if (spot && !s.spot) continue;
--- a/src/rooksill/core/holder.cc
+++ b/src/rooksill/core/holder.cc
@@ -473,7 +473,7 @@
   }
   for (const auto& ref : replica_.placed_on(w.name)) {
     if (matched.count(ref) != 0 || changing(ref)) continue;
-    end_of_unreported(w, ref, *replica_.job(ref.job), sure, order);
+    if (auto o = order_for_unreported(w, ref, *replica_.job(ref.job), sure)) order(std::move(*o));
   }
   if (w.running_since.size() > 4 * (w.tasks.size() + 16))
     std::erase_if(w.running_since, [&](const auto& r) { return matched.count(r.first) == 0; });
@@ -502,19 +502,18 @@
 // machines at once. A machine that is to go is no place for it, nor one where its team's share has
 // been given to others since it ended here unwritten. Nor can a gang's task come back to an attempt
 // that has run, or that has lost another task.
-void Holder::end_of_unreported(Worker& w, const TaskRef& ref, const Job& job, bool sure,
-                               const std::function<void(Order)>& order) {
+std::optional<Order> Holder::order_for_unreported(Worker& w, const TaskRef& ref, const Job& job,
+                                                  bool sure) {
   const uint64_t attempt = replica_.task(ref)->attempt;
   const bool attempt_over =
       job.spec.shape == Shape::kGang && (w.running_since.count(ref) != 0 || gang_broken(job));
-  if (job.over() || w.notice_until || w.bad || drain_.count(w.name) != 0 || attempt_over ||
-      beyond_share(job.spec.team, w)) {
-    if (!sure) return;
-    w.running_since.erase(ref);
-    change(ref, {Change::Kind::kLost, w.name, attempt, w.block});
-  } else {
-    order({Order::Op::kStart, ref, attempt, 0});
-  }
+  const bool lost = job.over() || w.notice_until || w.bad || drain_.count(w.name) != 0 ||
+                    attempt_over || beyond_share(job.spec.team, w);
+  if (!lost) return Order{Order::Op::kStart, ref, attempt, 0};
+  if (!sure) return std::nullopt;
+  w.running_since.erase(ref);
+  change(ref, {Change::Kind::kLost, w.name, attempt, w.block});
+  return std::nullopt;
 }
 
 // Whether a task on a machine that will be taken is likely to complete before. What is not starts
@@ -792,7 +791,8 @@
 bool Holder::fits_value(const Job& job, const ChunkId& id, ChunkWork& work, ChunkWrite& out) {
   const size_t most = ctx_.settings.platform.state_value_bytes;
   const bool gang = job.spec.shape == Shape::kGang;
-  for (auto c = work.waiting.end(); out.value.dump().size() > most;) {
+  out.bytes = out.value.dump().size();
+  for (auto c = work.waiting.end(); out.bytes > most; out.bytes = out.value.dump().size()) {
     while (c != work.waiting.begin() && std::prev(c)->second.kind != Change::Kind::kPlace) --c;
     if (c == work.waiting.begin() || gang) return false;
     c = drop_waiting(job, id, work, std::prev(c), out.tasks);
@@ -854,12 +854,12 @@
   if (group.guards.size() + static_cast<size_t>(fresh) > most_guards && !group.chunks.empty())
     return Added::kFull;
   group.guards.insert(write.guards.begin(), write.guards.end());
-  group.add({chunk_key(id.first, id.second), std::move(write.value), 0});
+  group.add({chunk_key(id.first, id.second), std::move(write.value), 0}, write.bytes);
   if (finishes) {
     Job ended;
     ended.spec.tasks = job->spec.tasks;
     ended.end = JobEnd::kDone;
-    group.add({job_key(id.first), encode_job(ended), 0});
+    group.add({job_key(id.first), encode_job(ended), 0}, 0);  // a few bytes, as those around it
   }
   unqueue(id, work);
   for (const auto& [i, c] : work.waiting)
@@ -873,10 +873,10 @@
   return Added::kChunk;
 }
 
-void Holder::Group::add(state::Write write) {
+void Holder::Group::add(state::Write write, size_t value_bytes) {
   constexpr size_t kAround = 200;  // bytes of a write besides its value, and of its guards
   keys.push_back(write.key);
-  if (!write.value.is_null()) bytes += write.value.dump().size() + kAround;
+  if (value_bytes > 0) bytes += value_bytes + kAround;
   writes.push_back(std::move(write));
 }
 
@@ -1167,8 +1167,7 @@
   return fmt::format(
       "machines: {}, {} heard, {} taking tasks with {:.0f} of {:.0f} cores free, {} sent commands; "
       "tasks: {} placed, reported {} fetching, {} gathering, {} running, {} saving, {} ended; "
-      "chunks routed "
-      "here: {}",
+      "chunks routed here: {}",
       workers_.size(), reported, taking, free, cpus, sending, placed, phases[0], phases[1],
       phases[2], phases[3], phases[4], routed_.size());
 }
--- a/src/rooksill/core/holder.h
+++ b/src/rooksill/core/holder.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <array>
-#include <functional>
 #include <list>
 #include <map>
 #include <unordered_map>
@@ -137,6 +136,7 @@
   struct ChunkWrite {
     std::vector<TaskState> tasks;
     nlohmann::json value;  // null: the chunk is deleted with its job's end
+    size_t bytes = 0;      // of the value
     std::map<std::string, uint64_t> guards;
     bool last = false;
   };
@@ -147,7 +147,7 @@
     std::vector<ChunkId> chunks;
     std::vector<std::string> keys;  // to be read back when the outcome is unknown
     size_t bytes = 0;
-    void add(state::Write write);
+    void add(state::Write write, size_t value_bytes);
   };
   enum class Added { kChunk, kNothing, kFull };
   struct ZoneCheck {
@@ -194,8 +194,8 @@
   bool may_decide(const Candidate& c) const;
   void drop_change(const ChunkId& id, uint32_t index, const Change& c);
   uint64_t basis(const Job& job, int block) const;
-  void end_of_unreported(Worker& w, const TaskRef& ref, const Job& job, bool sure,
-                         const std::function<void(worker::Order)>& order);
+  std::optional<worker::Order> order_for_unreported(Worker& w, const TaskRef& ref, const Job& job,
+                                                    bool sure);
   std::optional<worker::Order> order_for(Worker& w, const worker::ReportedTask& t, const Job& job);
   bool apply_change(const Job& job, const Chunk& chunk, TaskState& state, const Change& c) const;
   bool apply_waiting(const Job& job, const ChunkId& id, ChunkWork& work, ChunkWrite& out);
--- a/src/rooksill/core/leader.cc
+++ b/src/rooksill/core/leader.cc
@@ -17,8 +17,7 @@
 namespace {
 constexpr double kSafety = 0.9;        // part of a lease's time that its owner counts on
 constexpr double kRerouteReports = 1;  // how long a chunk waits in a block before another is tried
-constexpr double kGangRerouteReports =
-    0.25;                                // the same of a gang, which all or nothing is placed of
+constexpr double kGangRerouteReports = 0.25;  // the same of a gang
 constexpr size_t kTurnJobs = 20;         // waiting jobs whose routes are looked at with each tick
 constexpr size_t kTurnsPerReroute = 10;  // or such a part of them
 constexpr double kGatherReports = 0.2;   // from a process's start until it leads without the others
@@ -386,8 +385,7 @@
   auto usable = [&](const Pool& p) {
     if (p.spot && !s.spot) return false;
     if (!only_zone.empty() && p.zone != only_zone) return false;
-    return s.types.empty() ||
-           std::find(s.types.begin(), s.types.end(), p.type->name) != s.types.end();
+    return s.allows_type(p.type->name);
   };
   auto slots = [&](const Pool& p, double cpus) {
     double n = wanted;
--- a/src/rooksill/core/limit_balancer.cc
+++ b/src/rooksill/core/limit_balancer.cc
@@ -34,10 +34,7 @@
 
 double LimitBalancer::tasks_left(const JobSpec& spec, int block) {
   const LimitShare there = left(spec.team, block);
-  double tasks = std::numeric_limits<double>::infinity();
-  if (spec.cpus > 0) tasks = std::min(tasks, std::floor((there.cpus + kSlack) / spec.cpus));
-  if (spec.gpus > 0) tasks = std::min(tasks, std::floor((there.gpus + kSlack) / spec.gpus));
-  return tasks;
+  return spec.tasks_in(there.cpus, there.gpus, std::numeric_limits<double>::infinity());
 }
 
 void LimitBalancer::take(const JobSpec& spec, int block, double tasks) {
--- a/src/rooksill/core/model.h
+++ b/src/rooksill/core/model.h
@@ -1,7 +1,10 @@
 // Jobs, tasks and machines as every controller knows them from the state service.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +29,18 @@
   std::optional<double> deadline_s;
   // Of a spread job's tasks: half of them, rounded up.
   uint32_t most_in_zone() const { return (tasks + 1) / 2; }
+  bool allows_type(const std::string& name) const {
+    return types.empty() || std::find(types.begin(), types.end(), name) != types.end();
+  }
+  // How many tasks so much holds, in whole numbers; infinite if a task takes nothing.
+  double tasks_in(double of_cpus, double of_gpus, double of_memory_gb) const {
+    constexpr double kSlack = 1e-9;  // sums of fractions
+    double n = std::numeric_limits<double>::infinity();
+    if (cpus > 0) n = std::min(n, std::floor((of_cpus + kSlack) / cpus));
+    if (gpus > 0) n = std::min(n, std::floor((of_gpus + kSlack) / gpus));
+    if (memory_gb > 0) n = std::min(n, std::floor((of_memory_gb + kSlack) / memory_gb));
+    return n;
+  }
 };
 
 struct MachineType {
@@ -116,6 +131,10 @@
   std::vector<std::string> unreachable_zones;  // whose machines it cannot reach
 };
 
+// Version 1 knows neither records of versions nor gang jobs. Envelopes between controllers have the
+// same numbers.
+inline constexpr int kFirstVersion = 1, kPresentVersion = 2;
+
 // The version of a controller's process, as it recorded it itself when it started.
 struct VersionRecord {
   uint64_t stamp = 0, incarnation = 0;
--- a/src/rooksill/core/peers.cc
+++ b/src/rooksill/core/peers.cc
@@ -4,13 +4,10 @@
 
 namespace rooksill::core {
 
-namespace {
-constexpr int kLatestEnvelope = 2;  // this version takes both
-}  // namespace
-
 std::optional<net::Envelope> Peers::receive(const std::string& bytes) {
   net::Envelope e;
-  if (!net::unpack(bytes, e) || e.version < 1 || e.version > kLatestEnvelope) return std::nullopt;
+  if (!net::unpack(bytes, e) || e.version < kFirstVersion || e.version > kPresentVersion)
+    return std::nullopt;
   auto it = peers_.find(e.label);
   if (it == peers_.end()) return std::nullopt;
   Peer& p = it->second;
--- a/src/rooksill/core/peers.h
+++ b/src/rooksill/core/peers.h
@@ -67,7 +67,7 @@
   Context& ctx_;
   std::map<std::string, Peer> peers_;
   uint64_t seq_ = 0;
-  int version_ = 1;
+  int version_ = kFirstVersion;
   bool signs_known_ = false;
 };
 
--- a/src/rooksill/core/upgrade.h
+++ b/src/rooksill/core/upgrade.h
@@ -12,10 +12,6 @@
 
 namespace rooksill::core {
 
-// Version 1 knows neither records of versions nor gang jobs.
-inline constexpr int kFirstVersion = 1;
-inline constexpr int kPresentVersion = 2;
-
 class Upgrade {
  public:
   Upgrade(Context& ctx, Replica& replica, state::Committer& committer, Peers& peers)
--- a/src/rooksill/placement/gang_placer.cc
+++ b/src/rooksill/placement/gang_placer.cc
@@ -3,6 +3,7 @@
 // attempt waits until all of it is gone.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "rooksill/core/codec.h"
 #include "rooksill/core/holder.h"
@@ -91,10 +92,9 @@
   for (const auto& [block, stamp] : held_) {
     const auto& used = team_use_[{block, s.team}];
     const LimitShare& share = team_share(s.team, block);
-    double left = s.tasks;
-    if (s.cpus > 0) left = std::min(left, std::floor((share.cpus - used.first + kSlack) / s.cpus));
-    if (s.gpus > 0) left = std::min(left, std::floor((share.gpus - used.second + kSlack) / s.gpus));
-    out[block] = std::max(0.0, left);
+    const double left = s.tasks_in(share.cpus - used.first, share.gpus - used.second,
+                                   std::numeric_limits<double>::infinity());
+    out[block] = std::clamp<double>(left, 0, s.tasks);
   }
   return out;
 }
--- a/src/rooksill/placement/placer.cc
+++ b/src/rooksill/placement/placer.cc
@@ -133,8 +133,7 @@
   const Room& r = w.room;
   if (r.spot && !s.spot) return false;
   if (!s.zone.empty() && s.zone != r.zone) return false;
-  return s.types.empty() ||
-         std::find(s.types.begin(), s.types.end(), r.type->name) != s.types.end();
+  return s.allows_type(r.type->name);
 }
 
 bool Holder::fits(const JobSpec& s, double cpus, double gpus, double memory) {
