--- a/review/standins/case3.cc
+++ b/review/standins/case3.cc
@@ -1,31 +1,44 @@
-// Case 3: a burst of services leaves room for one task on an ordinary machine.
+// Case 3: a gang that needs more than one partition's share of its team's limit, while every
+// partition has room for it.
 #include "world.h"
 
 using namespace standins;
 
 namespace {
 constexpr double kMaxWaitS = 90;  // stated in the pages
-}
+constexpr int kGangTasks = 14;
+}  // namespace
 
 int main(int argc, char** argv) {
   const Options options = parse_options(argc, argv);
   Record record(options.record);
   Loop loop;
-  Facts facts;
-  for (int i = 0; i < 8; ++i)
-    facts.teams.push_back({{"name", "depot-desk-0" + std::to_string(i)},
-                           {"cpus", 0.0},
-                           {"cpus_max", 0.0},
-                           {"gpus", 0.0},
-                           {"gpus_max", 0.0}});
-  facts.objectives = json::array(
-      {{{"kind", "wait"}, {"class", "shelf-ledger"}, {"within_s", 1.0}, {"share", 0.97}},
-       {{"kind", "deadline"}, {"class", "expiry-sweep"}, {"share", 0.94}, {"times", 1.0}}});
+  Facts facts;  // of qoffa-gabes-mill
+  facts.state_rps = 80;
+  facts.write_rps = 25;
+  facts.value_kb = 4;
+  facts.txn_ops = 8;
+  facts.cloud_rps = 10;
+  facts.list_lag_s = 6;
+  facts.report_s = 4;
+  facts.cancel_s = 47;
+  const double limit = 36;
+  facts.teams = json::array({{{"name", "yard-crew"},
+                              {"cpus", 0.0},
+                              {"cpus_max", 0.0},
+                              {"gpus", 0.0},
+                              {"gpus_max", 0.0}},
+                             {{"name", "ledger-circle"},
+                              {"cpus", 24.0},
+                              {"cpus_max", limit},
+                              {"gpus", 0.0},
+                              {"gpus_max", 0.0}}});
+  const json zones = json::array({"gabes-mill", "mareth-store"});
   Store store(loop, facts, record);
   Controllers controllers(loop, facts, record, options.run, options.folder);
   KnownJobs known_jobs;
   const std::vector<MachineType> types{
-      {"souk-box", 32, 256, 2.79, 1.07, 20, 60, 0.2, {"sfax-depot", "sousse-depot"}}};
+      {"tannour-node", 4, 16, 0.24, 0.09, 30, 60, 1, {"gabes-mill", "mareth-store", "kebili-shed"}}};
   Cloud cloud(loop, facts, record, types,
               [&](const std::string& name, const MachineType& type, const std::string& zone,
                   bool spot) {
@@ -33,65 +46,84 @@
                                                 controllers.api_ports, controllers.names, name,
                                                 type, zone, spot);
               });
-  cloud.capacity[{"souk-box", "sfax-depot", false}] = 1;
-  cloud.capacity[{"souk-box", "sousse-depot", false}] = 1;
-  cloud.boot_time = [&](int, int, const MachineType&) { return 1.5; };
+  for (const auto& zone : types.front().zones) cloud.capacity[{"tannour-node", zone, false}] = 40;
+  cloud.boot_time = [&](int, int k, const MachineType&) { return 1.5 + 0.01 * k; };
 
   bool ended = false;
   controllers.on_end = [&](int, const std::string&) { ended = true; };
-  controllers.start_all(cloud.address(), store.address(), json::array({"sfax-depot", "sousse-depot"}));
+  controllers.start_all(cloud.address(), store.address(), zones);
   Users users(loop, record, controllers.api_ports, known_jobs);
-  // Services of one task each. A burst brings three times as many as usual.
-  const int services = options.trouble ? 15 : 5;
+  // Services of three tasks that leave one core of a machine free. A burst brings three times as
+  // many as usual; they are of another team.
+  const int services = options.trouble ? 21 : 7;
   loop.after(3, [&] {
     for (int i = 0; i < services; ++i) {
       char id[32];
       std::snprintf(id, sizeof id, "wk-%06d", 1 + i);
       users.submit(id,
-                   {{"flock", "shelf-ledger"},
+                   {{"flock", "scale-board"},
+                    {"owner", "yard-crew"},
                     {"shape", "service"},
                     {"rank", "prod"},
-                    {"memory_gb", 13.0},
+                    {"pieces", 3},
+                    {"cores", 3.0},
+                    {"memory_gb", 4.0},
                     {"bundle", "img-2"},
                     {"loaners", false},
                     {"guess_s", 0.0}},
                    0);
     }
   });
-  const std::string job = "wk-000900";
-  loop.after(17, [&] { users.submit(job, {{"due_s", 60.0}}, 10); });
-  loop.after(19, [&] { users.poll_until(job, 5, 113); });
+  const std::string gang = "wk-000900";
+  loop.after(18, [&] {
+    users.submit(gang,
+                 {{"flock", "dues-gang"},
+                  {"owner", "ledger-circle"},
+                  {"shape", "ensemble"},
+                  {"pieces", kGangTasks},
+                  {"cores", 1.0},
+                  {"memory_gb", 1.0},
+                  {"loaners", false},
+                  {"snapshot_s", 20.0},
+                  {"flush_s", 1.0}},
+                 20);
+  });
+  loop.after(20, [&] { users.poll_until(gang, 5, 113); });
 
-  // Room for the job: a machine that is up has had 4 cores and 11 GB free all the time.
+  // Room for the whole gang at once: that many machines have had a free core and memory.
   double room_since = -1;
+  int fewest = 1 << 20;
   std::function<void()> look = [&] {
-    bool has_room = false;
+    int with_room = 0;
     for (const auto& [name, machine] : cloud.machines())
-      if (machine.worker->is_up() && machine.worker->free_cpus() >= 4 &&
-          machine.worker->free_memory() >= 11)
-        has_room = true;
-    if (!has_room) room_since = -1;
-    if (has_room && room_since < 0) room_since = now_s();
+      if (machine.worker->is_up() && machine.worker->free_cpus() >= 1 &&
+          machine.worker->free_memory() >= 1)
+        ++with_room;
+    if (with_room < kGangTasks) room_since = -1;
+    if (with_room >= kGangTasks && room_since < 0) {
+      room_since = now_s();
+      fewest = with_room;
+    }
+    fewest = std::min(fewest, with_room);
     loop.after(0.1, look);
   };
   look();
   loop.after(113.5, [&] { loop.stop(); });
   loop.run();
 
-  const Users::Job& state = users.jobs[job];
+  const Users::Job& state = users.jobs[gang];
   bool began = false;
   for (const auto& answer : state.answers)
     began = began || answer.running > 0 || answer.done > 0 || answer.status == "done";
-  for (const auto& [name, machine] : cloud.machines())
-    record.line("result: machine %s in %s: %.1f of %.1f cores and %.1f GB free", name.c_str(),
-                machine.zone.c_str(), machine.worker->free_cpus(), machine.type.cpus,
-                machine.worker->free_memory());
-  const bool could_run = state.accepted_at >= 0 && !ended && room_since >= 0;
-  const double waited =
-      could_run && !began ? now_s() - std::max(state.accepted_at, room_since) : 0;
+  const bool could_run = state.accepted_at >= 0 && !ended && !cloud.machines().empty();
+  const double waited = could_run && !began && room_since >= 0
+                            ? now_s() - std::max(state.accepted_at, room_since)
+                            : 0;
   const bool broken = waited > kMaxWaitS;
-  record.line("result: %s accepted at %.1f, %s, waited %.1f s beside a machine with room; %s",
-              job.c_str(), state.accepted_at, began ? "began" : "never began", waited,
+  record.line("result: gang %s accepted at %.1f, %s, waited %.1f s; its team used 0 of %.0f cores "
+              "besides; at least %d machines had room since %.1f; %s",
+              gang.c_str(), state.accepted_at, began ? "began" : "never began", waited, limit,
+              room_since < 0 ? 0 : fewest, room_since,
               !could_run ? "the case could not run" : broken ? "BROKEN" : "held");
   if (!could_run) return 2;
   return broken ? 1 : 0;
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -323,6 +323,7 @@
   // The machine is up: the session begins.
   void start() {
     up_ = true;
+    workers_up().insert(this);
     session_began_ = lease_from_ = now_s();
     node_ = rng()() % nodes_.size();
     schedule_tick();
@@ -331,6 +332,7 @@
   // The machine is gone, with everything on it. From now on it is silent: connections hang.
   void end() {
     up_ = false;
+    workers_up().erase(this);
     ++life_;
     for (const auto& [piece, task] : tasks_)
       if (task.status != "exited")
@@ -366,8 +368,66 @@
     uint64_t attempt = 0;
     std::string status, cause, image;
     double cpus = 0, memory_gb = 0, flush_s = 0, ready_at = 0, ends_at = 0;
-    bool saves = false, saved = false;
+    bool saves = false, saved = false, in_gang = false;
+    double gathered_at = 0, lost_at = 1e18;  // gang: since when it waits, when it notices a loss
   };
+  using Tasks = std::map<std::string, Task>;
+
+  // ---- gangs: tasks of one attempt find each other over all machines that are up.
+  static std::set<Worker*>& workers_up() {
+    static std::set<Worker*> up;
+    return up;
+  }
+  static std::string job_of(const std::string& piece) { return piece.substr(0, piece.find('/')); }
+  static void for_each_member(const std::string& job, uint64_t attempt,
+                              const std::function<void(Worker&, const std::string&, Task&)>& visit) {
+    for (Worker* worker : workers_up())
+      for (auto& [piece, task] : worker->tasks_)
+        if (task.attempt == attempt && job_of(piece) == job) visit(*worker, piece, task);
+  }
+  void tick_gang_task(const std::string& piece, Task& task, const KnownJob& job) {
+    const double now = now_s();
+    const std::string id = job_of(piece);
+    const int pieces = job.spec["pieces"];
+    int gathering = 0, alive = 0;
+    for_each_member(id, task.attempt, [&](Worker&, const std::string&, Task& member) {
+      gathering += member.status == "gathering" ? 1 : 0;
+      alive += member.status == "running" || member.status == "saving" ? 1 : 0;
+    });
+    if (task.status == "pulling" && now >= task.ready_at) {
+      cached_.insert(task.image);
+      task.status = "gathering";
+      task.gathered_at = now;
+      changed_ = true;
+    } else if (task.status == "gathering" && gathering == pieces) {
+      record_.line("gang %s try %llu runs", id.c_str(),
+                   static_cast<unsigned long long>(task.attempt));
+      for_each_member(id, task.attempt, [&](Worker& worker, const std::string&, Task& member) {
+        member.status = "running";
+        member.ends_at = now + job.run_s;
+        worker.changed_ = true;
+      });
+    } else if (task.status == "gathering" && now - task.gathered_at > facts_.gang_wait_s) {
+      task.cause = "alone";
+      exit(piece, task);
+    } else if (task.status == "running" && now >= task.ends_at) {
+      for_each_member(id, task.attempt, [](Worker& worker, const std::string& name, Task& member) {
+        if (member.status != "running") return;
+        member.cause = "done";
+        worker.exit(name, member);
+      });
+    } else if (task.status == "running") {
+      if (alive < pieces && task.lost_at > 1e17) task.lost_at = now + facts_.gang_peer_s / 2;
+      if (now < task.lost_at) return;
+      task.cause = "mates_gone";
+      exit(piece, task);
+    } else if (task.status == "saving" && now >= task.ends_at) {
+      task.cause = "stopped";
+      task.saved = true;
+      exit(piece, task);
+    }
+  }
+
   void schedule_tick() {
     loop_.after(0.1, [this, life = life_] {
       if (!up_ || life != life_) return;
@@ -389,6 +449,10 @@
       changed_ = true;
     }
     for (auto& [piece, task] : tasks_) {
+      if (task.in_gang) {
+        tick_gang_task(piece, task, jobs_.at(job_of(piece)));
+        continue;
+      }
       if (task.status == "pulling" && now >= task.ready_at) {
         cached_.insert(task.image);
         task.status = "running";
@@ -522,6 +586,7 @@
       task.image = spec["bundle"];
       task.flush_s = spec["flush_s"];
       task.saves = spec["snapshot_s"].get<double>() > 0;
+      task.in_gang = spec["shape"] == "ensemble";
       if (tasks_.count(piece) != 0)
         refused = "busy";
       else if (task.cpus > free_cpus() + 1e-9 || task.memory_gb > free_memory() + 1e-9)
@@ -553,7 +618,7 @@
   size_t node_ = 0;
   double session_began_ = 0, lease_from_ = 0, next_report_at_ = 0, last_sent_ = 0, not_before_ = 0;
   double token_change_at_ = -1e9;
-  std::map<std::string, Task> tasks_;
+  Tasks tasks_;
   std::set<std::string> cached_;
   Server server_;
 };
