Machine lists: a machine is never in two lists; leaders no longer crash on such lists

Cause: the response to a rental came after the call's timeout. Before the request was repeated, one of its machines had booted, reported and been adopted into partition P. MachineLists::add() checked only whether an addition was pending, not whether the machine was listed, so the response to the repeated request put it into partition Q's list too.

Evidence: the logs told neither what a rental's response contained nor that a machine was listed already; the leader now logs for each response how many machines it names and how many are new.

Where they are read: - store::MachineDirectory holds the pages with their entries and derives the records from them: a machine has a record exactly while a page names it.

Every world now ends with a check that no machine is in two lists.

--- a/src/rooksill/fleet/demand_meter.cc
+++ b/src/rooksill/fleet/demand_meter.cc
@@ -45,7 +45,7 @@
 // controller has.
 std::map<InstancePool, double> DemandMeter::busy_machines() const {
   std::map<InstancePool, double> busy;
-  for (const auto& [name, machine] : replica_.machines) {
+  for (const auto& [name, machine] : replica_.machines()) {
     const store::MachineLoad& load = replica_.load(name);
     const auto type = replica_.types.find(machine.type);
     if (load.tasks.empty() || type == replica_.types.end()) continue;
--- a/src/rooksill/fleet/drain_moves.cc
+++ b/src/rooksill/fleet/drain_moves.cc
@@ -37,7 +37,7 @@
 void DrainMoves::plan_moves(const wire::MachineStatusMap& statuses) {
   const std::set<std::string>& draining = returns_.draining();
   if (draining.empty()) return;
-  const auto machines = static_cast<double>(replica_.machines.size());
+  const auto machines = static_cast<double>(replica_.machines().size());
   const auto extra = static_cast<int>(kExtraMovesPerMachine * machines);
   Budget budget{kReplicaMovesPerRound + extra, kArrayTaskMovesPerRound + extra, kChecksPerRound};
   auto next = draining.upper_bound(last_checked_machine_);
@@ -52,15 +52,17 @@
 void DrainMoves::plan_moves_off(const model::Machine& from, const wire::MachineStatusMap& statuses,
                                 Budget& budget) {
   for (const model::TaskRef& task : replica_.placed_on(from.name)) {
-    const model::Job& job = *replica_.job(task.job);
-    const bool service = job.spec.shape == model::Shape::kService;
+    const model::Job* job = replica_.job(task.job);
+    const model::TaskState* state = replica_.task(task);
+    if (job == nullptr || state == nullptr) continue;
+    const bool service = job->spec.shape == model::Shape::kService;
     int& moves_left = service ? budget.replicas : budget.array_tasks;
-    if (moves_left <= 0 || budget.checks <= 0 || !can_move(job)) continue;
+    if (moves_left <= 0 || budget.checks <= 0 || !can_move(*job)) continue;
     --budget.checks;
-    if (!has_target(job, from, statuses)) continue;
+    if (!has_target(*job, from, statuses)) continue;
     context_.debug("fleet", "moving task {} off draining machine {}", wire::task_name(task),
                    from.name);
-    moves_.push_back({task.job, task.index, replica_.task(task)->attempt});
+    moves_.push_back({task.job, task.index, state->attempt});
     --moves_left;
   }
 }
--- a/src/rooksill/fleet/fleet.cc
+++ b/src/rooksill/fleet/fleet.cc
@@ -20,7 +20,7 @@
       returns_(context, cloud_, lists_),
       review_(context, replica, unreachable_machines_, returns_),
       capacity_limits_(context, lists_, unreachable_machines_),
-      rentals_(context, cloud_, lists_, capacity_limits_),
+      rentals_(context, cloud_, lists_, returns_, capacity_limits_),
       inventory_(context, replica, cloud_, lists_, returns_, rentals_),
       on_demand_(context, replica, lists_, returns_, capacity_limits_, rentals_),
       drain_moves_(context, replica, returns_),
--- a/src/rooksill/fleet/machine_review.cc
+++ b/src/rooksill/fleet/machine_review.cc
@@ -9,7 +9,7 @@
 
 void MachineReview::release_unusable(const wire::MachineStatusMap& statuses,
                                      const std::set<int>& suspect_partitions) {
-  for (const auto& [name, machine] : replica_.machines) {
+  for (const auto& [name, machine] : replica_.machines()) {
     if (returns_.is_leaving(name)) continue;
     const auto status = statuses.find(name);
     if (status == statuses.end()) continue;  // not reported by its owner yet
--- a/src/rooksill/fleet/on_demand_rentals.cc
+++ b/src/rooksill/fleet/on_demand_rentals.cc
@@ -64,7 +64,7 @@
 std::vector<FreeSpace> OnDemandRentals::collect_free_spaces(
     const wire::MachineStatusMap& statuses) const {
   std::vector<FreeSpace> spaces;
-  for (const auto& [name, machine] : replica_.machines)
+  for (const auto& [name, machine] : replica_.machines())
     if (auto space = free_space_on(machine, statuses)) spaces.push_back(*std::move(space));
   for (const model::Machine* machine : lists_.pending_additions()) {
     const auto type = replica_.types.find(machine->type);
--- a/src/rooksill/fleet/pool_sizing.cc
+++ b/src/rooksill/fleet/pool_sizing.cc
@@ -27,7 +27,7 @@
 
 MachinesByPool machines_by_pool(const store::Replica& replica) {
   MachinesByPool machines;
-  for (const auto& [name, machine] : replica.machines)
+  for (const auto& [name, machine] : replica.machines())
     machines[{machine.type, machine.spot}].push_back(&machine);
   return machines;
 }
--- a/src/rooksill/fleet/rentals.cc
+++ b/src/rooksill/fleet/rentals.cc
@@ -1,6 +1,7 @@
 #include "rooksill/fleet/rentals.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -59,7 +60,7 @@
   if (it == requests_.end()) return;
   RentalRequest& request = it->second;
   request.state = RentalRequest::State::kToSend;
-  if (add_rented_machines(request, done)) {
+  if (add_rented_machines(name, request, done)) {
     requests_.erase(it);
     return;
   }
@@ -75,11 +76,19 @@
   if (++request.failed_tries > kMaxFailedTries) requests_.erase(it);
 }
 
-bool Rentals::add_rented_machines(const RentalRequest& request, const runtime::CallDone& done) {
+bool Rentals::add_rented_machines(const std::string& name, const RentalRequest& request,
+                                  const runtime::CallDone& done) {
   if (done.status != 200) return false;
   const auto names = wire::parse_rented_names(done.body);
   if (!names) return false;
-  lists_.add(*names, request.offer, request.partition);
+  std::vector<std::string> held = *names;
+  std::erase_if(held, [this](const std::string& machine) {
+    return returns_.is_leaving(machine) || returns_.was_recently_released(machine);
+  });
+  const size_t added = lists_.add(held, request.offer, request.partition);
+  context_.info("fleet",
+                "request {} answered: {} of {} machines, {} of them new, after {} failures", name,
+                names->size(), request.count, added, request.failed_tries);
   if (!names->empty()) capacity_limits_.record_success(request.offer);
   if (static_cast<int>(names->size()) < request.count)
     capacity_limits_.record_refusal(request.offer);
--- a/src/rooksill/fleet/rentals.h
+++ b/src/rooksill/fleet/rentals.h
@@ -8,6 +8,7 @@
 #include "rooksill/fleet/capacity_limits.h"
 #include "rooksill/fleet/cloud_client.h"
 #include "rooksill/fleet/machine_lists.h"
+#include "rooksill/fleet/machine_returns.h"
 #include "rooksill/fleet/offer.h"
 #include "rooksill/runtime/context.h"
 #include "rooksill/runtime/effects.h"
@@ -35,8 +36,12 @@
 class Rentals {
  public:
   Rentals(runtime::Context& context, CloudClient& cloud, MachineLists& lists,
-          CapacityLimits& capacity_limits)
-      : context_(context), cloud_(cloud), lists_(lists), capacity_limits_(capacity_limits) {}
+          const MachineReturns& returns, CapacityLimits& capacity_limits)
+      : context_(context),
+        cloud_(cloud),
+        lists_(lists),
+        returns_(returns),
+        capacity_limits_(capacity_limits) {}
 
   // Drops the requests of a former term.
   void start_term(uint64_t term);
@@ -58,13 +63,16 @@
 
  private:
   void on_response(const std::string& name, const runtime::CallDone& done);
-  // Adds the machines named by the response to the partitions' lists. Returns false if
-  // the response is not a valid list of machines.
-  bool add_rented_machines(const RentalRequest& request, const runtime::CallDone& done);
+  // Adds the machines named by the response to the partitions' lists, except those that have been
+  // adopted or released in the meantime. Returns false if the response is not a valid list of
+  // machines.
+  bool add_rented_machines(const std::string& name, const RentalRequest& request,
+                           const runtime::CallDone& done);
 
   runtime::Context& context_;
   CloudClient& cloud_;
   MachineLists& lists_;
+  const MachineReturns& returns_;
   CapacityLimits& capacity_limits_;
   uint64_t term_ = 0;
   uint64_t next_request_number_ = 1;
--- a/src/rooksill/fleet/unreachable_machines.cc
+++ b/src/rooksill/fleet/unreachable_machines.cc
@@ -41,7 +41,7 @@
 std::map<std::string, UnreachableMachines::ZoneCount> UnreachableMachines::count_by_zone(
     const wire::MachineStatusMap& statuses) const {
   std::map<std::string, ZoneCount> counts;
-  for (const auto& [name, machine] : replica_.machines) {
+  for (const auto& [name, machine] : replica_.machines()) {
     const auto found = statuses.find(name);
     const auto type = replica_.types.find(machine.type);
     if (found == statuses.end() || type == replica_.types.end()) continue;
@@ -132,8 +132,8 @@
 bool UnreachableMachines::claim_capacity_for(const store::MachineLoad& load) {
   size_t highest_priority = 0;
   for (const model::TaskRef& task : load.tasks)
-    highest_priority =
-        std::max(highest_priority, static_cast<size_t>(replica_.job(task.job)->spec.priority));
+    if (const model::Job* job = replica_.job(task.job))
+      highest_priority = std::max(highest_priority, static_cast<size_t>(job->spec.priority));
   const auto lower_end =
       used_cpus_by_priority_.begin() + static_cast<std::ptrdiff_t>(highest_priority);
   if (load.used.cpus > std::accumulate(used_cpus_by_priority_.begin(), lower_end, free_cpus_))
@@ -153,11 +153,11 @@
 // preempt tasks of lower priority.
 bool UnreachableMachines::replica_fits_elsewhere(const model::Machine& machine) const {
   for (const model::TaskRef& task : replica_.placed_on(machine.name)) {
-    const model::Job& job = *replica_.job(task.job);
-    const model::JobSpec& spec = job.spec;
-    if (spec.shape != model::Shape::kService || job.over()) continue;
+    const model::Job* job = replica_.job(task.job);
+    if (job == nullptr || job->over() || job->spec.shape != model::Shape::kService) continue;
+    const model::JobSpec& spec = job->spec;
     if (spec.one_zone || !spec.zone.empty()) continue;
-    if (!spec.spread || has_other_zone_for(job, machine.zone)) return true;
+    if (!spec.spread || has_other_zone_for(*job, machine.zone)) return true;
   }
   return false;
 }
@@ -179,7 +179,7 @@
   const PlatformSettings& platform = context_.settings.platform;
   if (context_.now.steady >= next_batch_at_) {
     next_batch_at_ = context_.now.steady + kBatchIntervalHeartbeats * platform.report_s;
-    const auto machines = static_cast<double>(replica_.machines.size());
+    const auto machines = static_cast<double>(replica_.machines().size());
     remaining_in_batch_ = std::max(1, static_cast<int>(kBatchRatio * machines));
   }
   if (remaining_in_batch_ <= 0 && unreachable_s < kMaxBatchWaitLeases * platform.lease_s)
--- a/src/rooksill/fleet/zone_reserves.cc
+++ b/src/rooksill/fleet/zone_reserves.cc
@@ -23,14 +23,15 @@
     for (const auto& zone : type.zones) capacity_by_zone_[zone];
   std::map<std::string, double> largest_replicas, used_by_replicas;  // CPUs by zone
   double highest_replica_use = 0;
-  for (const auto& [name, machine] : replica_.machines) {
+  for (const auto& [name, machine] : replica_.machines()) {
     if (machine.spot) continue;
     const double used = replica_.load(name).service_cpus;
     highest_replica_use = std::max(highest_replica_use, used);
     used_by_replicas[machine.zone] += used;
     if (used > 0) record_largest_replica(machine, largest_replicas);
-    if (is_available(machine, statuses))
-      add_available(machine.zone, replica_.types.at(machine.type).capacity.cpus - used);
+    const auto type = replica_.types.find(machine.type);
+    if (type != replica_.types.end() && is_available(machine, statuses))
+      add_available(machine.zone, type->second.capacity.cpus - used);
   }
   add_rentals();
   // A fleet of hundreds of machines loses dozens at a time, and the replicas of a spread job must
@@ -45,9 +46,7 @@
                                 const wire::MachineStatusMap& statuses) const {
   if (returns_.is_draining(machine.name) || returns_.is_leaving(machine.name)) return false;
   const auto status = statuses.find(machine.name);
-  if (status == statuses.end() || status->second.is_unreachable || status->second.is_faulty)
-    return false;
-  return replica_.types.count(machine.type) != 0;
+  return status != statuses.end() && !status->second.is_unreachable && !status->second.is_faulty;
 }
 
 void ZoneReserves::add_available(const std::string& zone, double cpus) {
@@ -66,10 +65,10 @@
 void ZoneReserves::record_largest_replica(const model::Machine& machine,
                                           std::map<std::string, double>& largest_by_zone) const {
   for (const model::TaskRef& task : replica_.placed_on(machine.name)) {
-    const model::JobSpec& spec = replica_.job(task.job)->spec;
-    if (spec.shape != model::Shape::kService) continue;
+    const model::Job* job = replica_.job(task.job);
+    if (job == nullptr || job->spec.shape != model::Shape::kService) continue;
     double& largest = largest_by_zone[machine.zone];
-    largest = std::max(largest, spec.request.cpus);
+    largest = std::max(largest, job->spec.request.cpus);
   }
 }
 
--- a/src/rooksill/leader/machine_status_table.cc
+++ b/src/rooksill/leader/machine_status_table.cc
@@ -5,8 +5,6 @@
 #include <cstdint>
 #include <utility>
 
-#include "rooksill/model/machine.h"
-
 namespace rooksill::leader {
 
 bool MachineStatusTable::owns_machine(const std::string& label, const std::string& machine) const {
@@ -39,15 +37,16 @@
     const std::vector<std::string>& unreachable = record == replica_.liveness_records.end()
                                                       ? kNoMachines
                                                       : record->second.unreachable_machines;
-    for (const store::MachinePage& page : replica_.pages[partition])
-      for (const std::string& name : page.names) derive_status(owner, unreachable, name);
+    for (const store::MachinePage& page : replica_.directory().pages()[partition])
+      for (const auto& [name, entry] : page.machines)
+        if (owns_machine(owner, name)) derive_status(owner, unreachable, entry);
   }
 }
 
 void MachineStatusTable::derive_status(const std::string& owner,
                                        const std::vector<std::string>& unreachable,
-                                       const std::string& name) {
-  const model::Machine& machine = *replica_.machine(name);
+                                       const model::Machine& machine) {
+  const std::string& name = machine.name;
   const auto type = replica_.types.find(machine.type);
   if (type == replica_.types.end()) return;
   const model::Resources& capacity = type->second.capacity;
--- a/src/rooksill/leader/machine_status_table.h
+++ b/src/rooksill/leader/machine_status_table.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "rooksill/membership/peers.h"
+#include "rooksill/model/machine.h"
 #include "rooksill/runtime/context.h"
 #include "rooksill/store/replica.h"
 #include "rooksill/wire/controller_messages.h"
@@ -39,7 +40,7 @@
   // Returns whether the machine is listed in a partition owned by the controller `label`.
   bool owns_machine(const std::string& label, const std::string& machine) const;
   void derive_status(const std::string& owner, const std::vector<std::string>& unreachable,
-                     const std::string& name);
+                     const model::Machine& machine);
 
   const runtime::Context& context_;
   const store::Replica& replica_;
--- a/src/rooksill/model/machine.h
+++ b/src/rooksill/model/machine.h
@@ -1,6 +1,7 @@
 // Machines and their types, as read from the key-value store.
 #pragma once
 
+#include <compare>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,13 @@
   std::vector<std::string> zones;  // zones that offer the type
 };
 
+// Identifies a page of a partition's machine list. Each page is one value in the store.
+struct MachinePageId {
+  int partition = 0;
+  int page = 0;
+  auto operator<=>(const MachinePageId&) const = default;
+};
+
 // A rented machine. It belongs to the same partition until it is confirmed to be gone.
 struct Machine {
   std::string name;
@@ -29,6 +37,9 @@
   int partition = 0;
   int page = 0;          // page of its partition's machine list
   double rented_at = 0;  // wall clock, in whole seconds
+
+  // Returns the page that contains the machine.
+  MachinePageId page_id() const { return {partition, page}; }
 };
 
 // A machine that has sent no heartbeat for this multiple of its type's boot time after its rental
--- a/src/rooksill/partition/partition_owner.cc
+++ b/src/rooksill/partition/partition_owner.cc
@@ -53,8 +53,9 @@
   context_.info("partition", "acquired partition {}, fencing token {}", partition,
                 model::number(lease.fencing_token));
   remove_workers(partition);
-  for (const auto& page : replica_.pages[static_cast<size_t>(partition)])
-    replica_.changes.changed_machines.insert(page.names.begin(), page.names.end());
+  for (const auto& page : replica_.directory().pages()[static_cast<size_t>(partition)])
+    for (const auto& [name, machine] : page.machines)
+      replica_.changes.changed_machines.insert(name);
 }
 
 void PartitionOwner::remove_workers(int partition) {
@@ -83,18 +84,23 @@
 void PartitionOwner::apply_store_changes() {
   for (const auto& name : replica_.changes.changed_machines) {
     const model::Machine* machine = replica_.machine(name);
-    if (agent::Worker* worker = workers_.find(name)) {
-      if (machine != nullptr) {
-        workers_.mark_changed(*worker);
-      } else {
-        capacities_.remove_usage(*worker);
-        workers_.remove(name);
-      }
-    } else if (machine == nullptr) {
-      workers_.remove_address(name);
-    } else if (owns(machine->partition)) {
-      workers_.add(name, machine->partition);
+    agent::Worker* worker = workers_.find(name);
+    // The fencing token of a worker is that of its partition's lease, so a worker whose machine
+    // belongs to another partition now is replaced.
+    const bool has_left =
+        worker != nullptr && (machine == nullptr || machine->partition != worker->partition);
+    if (worker != nullptr && !has_left) {
+      workers_.mark_changed(*worker);
+      continue;
+    }
+    if (has_left) {
+      capacities_.remove_usage(*worker);
+      workers_.remove(name);
     }
+    if (machine != nullptr && owns(machine->partition))
+      workers_.add(name, machine->partition);
+    else if (machine == nullptr && worker == nullptr)
+      workers_.remove_address(name);
   }
 }
 
--- a/src/rooksill/store/replica.cc
+++ b/src/rooksill/store/replica.cc
@@ -39,9 +39,9 @@
 
 Replica::Replica(const PlatformSettings& settings)
     : leases(static_cast<size_t>(settings.controller_count)),
-      pages(static_cast<size_t>(settings.controller_count)),
       tasks_per_shard_(items_per_value(settings, model::kTypicalTaskBytes)),
-      machines_per_page_(items_per_value(settings, model::kTypicalMachineBytes)) {}
+      machines_per_page_(items_per_value(settings, model::kTypicalMachineBytes)),
+      directory_(static_cast<size_t>(settings.controller_count)) {}
 
 // ---- lookups ----------------------------------------------------------------------------------
 
@@ -55,11 +55,6 @@
   return it == jobs.end() ? nullptr : &it->second;
 }
 
-const model::Machine* Replica::machine(const std::string& name) const {
-  auto it = machines.find(name);
-  return it == machines.end() ? nullptr : &it->second;
-}
-
 const model::TaskState* Replica::task(const model::TaskRef& ref) const {
   const model::Job* known = job(ref.job);
   if (known == nullptr || ref.index >= known->spec.tasks) return nullptr;
@@ -92,7 +87,7 @@
     case wire::KeyKind::kLease:
       return apply_lease(parsed->partition, value, revision);
     case wire::KeyKind::kMachines:
-      return apply_machines(parsed->partition, parsed->page, value, revision);
+      return apply_machines({parsed->partition, parsed->page}, value, revision);
     case wire::KeyKind::kLiveness:
       return replace_record(liveness_records[parsed->name], wire::decode_liveness, value, revision);
     case wire::KeyKind::kVersion:
--- a/src/rooksill/store/replica.h
+++ b/src/rooksill/store/replica.h
@@ -16,18 +16,13 @@
 #include "rooksill/model/machine.h"
 #include "rooksill/settings/settings.h"
 #include "rooksill/store/image_numbers.h"
+#include "rooksill/store/machine_directory.h"
 #include "rooksill/store/machine_load_index.h"
 #include "rooksill/store/replica_changes.h"
 #include "rooksill/wire/store_keys.h"
 
 namespace rooksill::store {
 
-// One page of the list of a partition's machines; each page is one value in the store.
-struct MachinePage {
-  model::Revision revision = model::kNoRevision;
-  std::set<std::string> names;
-};
-
 // Holds each record at the newest revision received, whether from the listing, a watch, a read,
 // another controller or this controller's own transactions. Revisions arrive in any order, and an
 // older one never replaces a newer one. Aggregates of the records (a job's task counts, a machine's
@@ -56,7 +51,7 @@
   model::Job* job(const std::string& id);
   const model::Job* job(const std::string& id) const;
   // Returns the listed machine with this name.
-  const model::Machine* machine(const std::string& name) const;
+  const model::Machine* machine(const std::string& name) const { return directory_.find(name); }
   // Returns the task's state. Also nullptr once the job is done, as its shards are dropped.
   const model::TaskState* task(const model::TaskRef& ref) const;
 
@@ -68,7 +63,7 @@
   }
   // Returns whether the machine is in no machine list. Either it has been released, or it was
   // rented after the known revisions of the lists; has_current_lists_for() rules out the latter.
-  bool is_machine_unlisted(const std::string& name) const { return machines.count(name) == 0; }
+  bool is_machine_unlisted(const std::string& name) const { return machine(name) == nullptr; }
   // Returns whether an unlisted machine of one of the shard's tasks is certain to be gone: all
   // changes up to `synced_revision` are known, and a task's machine is listed before its shard is
   // written.
@@ -95,13 +90,18 @@
   // Returns how many machines of a partition's list are stored in one value of the store.
   uint32_t machines_per_page() const { return machines_per_page_; }
 
+  // Returns the machines in all lists, by name.
+  const std::unordered_map<std::string, model::Machine>& machines() const {
+    return directory_.machines();
+  }
+  // Returns the pages of the machine lists and the machines that are in several of them.
+  const MachineDirectory& directory() const { return directory_; }
+
   // ---- records; read-only for users of the class ----------------------------------------------
 
-  std::unordered_map<std::string, model::Job> jobs;          // by id
-  std::unordered_map<std::string, model::Machine> machines;  // by name; the machines in all lists
-  std::map<std::string, model::MachineType> types;           // by name
-  std::vector<model::PartitionLease> leases;                 // indexed by partition
-  std::vector<std::vector<MachinePage>> pages;               // indexed by partition, then page
+  std::unordered_map<std::string, model::Job> jobs;  // by id
+  std::map<std::string, model::MachineType> types;   // by name
+  std::vector<model::PartitionLease> leases;         // indexed by partition
   model::Leadership leader;
   uint64_t term = 0;  // the latest leader term
   model::Revision term_revision = model::kNoRevision;
@@ -133,7 +133,7 @@
   bool apply_shard(const wire::StoreKey& key, const nlohmann::json& value,
                    model::Revision revision);
   bool apply_lease(int partition, const nlohmann::json& value, model::Revision revision);
-  bool apply_machines(int partition, int page, const nlohmann::json& value,
+  bool apply_machines(const model::MachinePageId& id, const nlohmann::json& value,
                       model::Revision revision);
   bool apply_quota(const std::string& team, const nlohmann::json& value, model::Revision revision);
   bool apply_type(const nlohmann::json& value);
@@ -153,13 +153,6 @@
   void add_load(const model::Job& job, const model::TaskRef& ref, const std::string& machine);
   void remove_load(const model::Job& job, const model::TaskRef& ref, const std::string& machine);
 
-  // Machines.
-  void replace_page(int partition, int page, const std::map<std::string, model::Machine>& listed,
-                    model::Revision revision);
-  // Removes the page's machines that `listed` does not contain, and returns their names.
-  std::vector<std::string> remove_unlisted(int partition, int page,
-                                           const std::map<std::string, model::Machine>& listed);
-
   // Aggregates.
   void recount(model::Job& job, model::TaskShard& shard);
   void recount_tasks_on(const std::string& machine);
@@ -167,6 +160,7 @@
 
   uint32_t tasks_per_shard_;
   uint32_t machines_per_page_;
+  MachineDirectory directory_;
   MachineLoadIndex loads_;
   ImageNumbers images_;
   std::set<std::string> cancelled_before_record_;  // jobs whose record has not arrived yet
--- a/tests/runner/replica.cc
+++ b/tests/runner/replica.cc
@@ -17,8 +17,8 @@
 using rooksill::model::Revision;
 using rooksill::store::Replica;
 
-// page PARTITION PAGE REVISION MACHINE… [taken=0]: applies a page with these machines. The replica
-// has to accept it, or with taken=0 to ignore it.
+// page PARTITION PAGE REVISION MACHINE… [rented=TIME] [taken=0]: applies a page with these
+// machines. The replica has to accept it, or with taken=0 to ignore it.
 void apply_page(Replica& replica, const Line& line) {
   std::map<std::string, Machine> machines;
   for (size_t i = 4; i < line.words.size(); ++i) {
@@ -26,6 +26,7 @@
     machine.name = line.words[i];
     machine.type = "box";
     machine.zone = "a";
+    machine.rented_at = line.get("rented", 0);
     machines[machine.name] = machine;
   }
   const auto key = rooksill::wire::machines_key(line.integer_at(1), line.integer_at(2));
@@ -42,6 +43,19 @@
   expect_near(line, machine->page, line.number_at(2), 0);
 }
 
+// in MACHINE PARTITION: the machine has to belong to this partition.
+void expect_in_partition(Replica& replica, const Line& line) {
+  const Machine* machine = replica.machine(line.word(1));
+  if (machine == nullptr) fail(line, "the machine is not in the replica");
+  expect_near(line, machine->partition, line.number_at(2), 0);
+}
+
+// duplicates COUNT: so many machines have to be in several pages.
+void expect_duplicates(Replica& replica, const Line& line) {
+  expect_near(line, static_cast<double>(replica.directory().duplicates().size()), line.number_at(1),
+              0);
+}
+
 // gone MACHINE: the replica must not list the machine.
 void expect_unknown(Replica& replica, const Line& line) {
   if (replica.machine(line.word(1)) != nullptr) fail(line, "the machine is still in the replica");
@@ -50,7 +64,9 @@
 const VerbTable<Replica>& verbs() {
   static const VerbTable<Replica> kVerbs("verb", {
                                                      {"kind", {}, [](Replica&, const Line&) {}},
-                                                     {"page", {"taken"}, apply_page},
+                                                     {"page", {"rented", "taken"}, apply_page},
+                                                     {"in", {}, expect_in_partition},
+                                                     {"duplicates", {}, expect_duplicates},
                                                      {"on", {}, expect_on_page},
                                                      {"gone", {}, expect_unknown},
                                                  });
--- a/tests/runner/world_actions.cc
+++ b/tests/runner/world_actions.cc
@@ -156,6 +156,10 @@
   world.faults().lose_responses(chance(line), duration(line));
 }
 
+void drop_cloud_responses(World& world, const Line& line) {
+  world.faults().lose_cloud_responses(line.get("chance", 1), duration(line));
+}
+
 void delay_requests(World& world, const Line& line) {
   world.faults().delay_requests(chance(line), line.get("by", 3), duration(line));
 }
@@ -184,6 +188,10 @@
   world.faults().refuse_store_requests(controller_at(world, line, 1), duration(line));
 }
 
+void list_machines_twice(World& world, const Line& line) {
+  world.faults().list_machines_twice(count(line), line.get("later", 1));
+}
+
 void lower_store_limits(World& world, const Line&) {
   world.faults().apply_announced_store_limits();
 }
@@ -192,6 +200,10 @@
 
 void never_boot(World& world, const Line& line) { world.faults().prevent_boots(count(line)); }
 
+void boot_early(World& world, const Line& line) {
+  world.faults().boot_early(count(line), line.get("by", 1));
+}
+
 void set_capacity(World& world, const Line& line) {
   world.faults().set_capacity(line.get_integer("to", 0));
 }
@@ -238,6 +250,7 @@
                     {"drop_machine_inbound", {"count", "for"}, drop_machine_inbound},
                     {"drop_machine_outbound", {"count", "for", "zone"}, drop_machine_outbound},
                     {"drop_responses", {"chance", "for"}, drop_responses},
+                    {"drop_cloud_responses", {"chance", "for"}, drop_cloud_responses},
                     {"delay_requests", {"chance", "by", "for"}, delay_requests},
                     {"delay_transactions", {"chance", "by", "for"}, delay_transactions},
                     {"delay_commands", {"chance", "by", "for"}, delay_commands},
@@ -245,9 +258,11 @@
                     {"store_outage", {"for"}, store_outage},
                     {"slow_store", {"by", "for"}, slow_store},
                     {"refuse_at_store", {"for"}, refuse_at_store},
+                    {"list_machines_twice", {"count", "later"}, list_machines_twice},
                     {"lower_store_limits", {}, lower_store_limits},
                     {"cloud_outage", {"for"}, cloud_outage},
                     {"never_boot", {"count"}, never_boot},
+                    {"boot_early", {"count", "by"}, boot_early},
                     {"set_capacity", {"to"}, set_capacity},
                     {"reclaim_spot", {"share", "notice"}, reclaim_spot},
                     {"hang_machines", {"count", "for"}, hang_machines},
--- a/tests/runner/world_expectations.cc
+++ b/tests/runner/world_expectations.cc
@@ -8,6 +8,7 @@
 #include "rooksill/wire/store_codec.h"
 #include "runner/job_line.h"
 #include "runner/verb_table.h"
+#include "standins/machine_listings.h"
 
 namespace runner {
 
@@ -143,6 +144,14 @@
   expect_at_most(line, 1, world.router().peer_bytes());
 }
 
+// In the store each machine is in one page of one list.
+void machines_listed_once(const World& world, const Line& line) {
+  for (const auto& [name, entries] :
+       standins::machine_listings(world.store(), world.controller_count()))
+    if (entries.size() > 1)
+      fail(line, name + " is listed " + std::to_string(entries.size()) + " times");
+}
+
 void has_leader(const World& world, const Line& line) {
   if (!world.cluster().leader()) fail(line, "there is no leader");
 }
@@ -200,6 +209,7 @@
                          {"store_refusals_at_most", {}, store_refusals_at_most},
                          {"store_writes_at_most", {}, store_writes_at_most},
                          {"peer_bytes_at_most", {}, peer_bytes_at_most},
+                         {"machines_listed_once", {}, machines_listed_once},
                          {"has_leader", {}, has_leader},
                          {"upgraded", {}, upgraded},
                          {"partitions_balanced", {}, partitions_balanced},
--- a/tests/standins/cloud.cc
+++ b/tests/standins/cloud.cc
@@ -153,6 +153,19 @@
   return count;
 }
 
+double Cloud::next_boot_time(double now, const TypeSpec& type) {
+  if (boots_to_prevent > 0) {
+    --boots_to_prevent;
+    return kNeverSeconds;
+  }
+  if (early_boots > 0) {
+    --early_boots;
+    return now + early_boot_s;
+  }
+  // Boot times vary between machines, from 0.6 to 1.4 of the type's boot time.
+  return now + type.boot_s * (0.6 + 0.1 * (next_machine_ % 9));
+}
+
 std::string Cloud::add_machine(double now, const TypeSpec& type, const std::string& zone,
                                bool spot) {
   const std::string digits = std::to_string(next_machine_++);
@@ -163,10 +176,7 @@
   machine.zone = zone;
   machine.spot = spot;
   machine.rented_at = now;
-  // Boot times vary between machines, from 0.6 to 1.4 of the type's boot time.
-  machine.boots_at =
-      boots_to_prevent > 0 ? kNeverSeconds : now + type.boot_s * (0.6 + 0.1 * (next_machine_ % 9));
-  if (boots_to_prevent > 0) --boots_to_prevent;
+  machine.boots_at = next_boot_time(now, type);
   machines[machine.name] = machine;
   return machine.name;
 }
--- a/tests/standins/cloud.h
+++ b/tests/standins/cloud.h
@@ -49,6 +49,8 @@
   std::vector<std::string> newly_booted, newly_terminated;  // names; emptied by the reader
   bool has_outage = false;                                  // the response to every request is 503
   int boots_to_prevent = 0;  // how many of the next rented machines never boot
+  int early_boots = 0;       // how many of the next rented machines boot after early_boot_s
+  double early_boot_s = 0;
 
  private:
   void refill_budget(double now);
@@ -59,6 +61,7 @@
   const TypeSpec* find_type(const std::string& name, const std::string& zone) const;
   // Returns how many machines are currently rented.
   int rented_count(const std::string& type, const std::string& zone, bool spot) const;
+  double next_boot_time(double now, const TypeSpec& type);
   std::string add_machine(double now, const TypeSpec& type, const std::string& zone, bool spot);
   // Returns the current state of the machine list.
   nlohmann::json machine_list() const;
--- a/tests/standins/end_of_day_checks.cc
+++ b/tests/standins/end_of_day_checks.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <map>
 
+#include "standins/machine_listings.h"
+
 namespace standins {
 
 namespace {
@@ -16,6 +18,7 @@
 }  // namespace
 
 void EndOfDayChecks::run(double faults_end) {
+  check_machine_lists();
   std::map<std::string, JobList> by_class, by_team;
   for (const auto& [id, job] : jobs_) {
     if (!job.is_accepted() || job.is_cancel_requested) continue;
@@ -29,6 +32,14 @@
   for (const auto& [name, jobs] : by_class) check_class(name, jobs);
 }
 
+void EndOfDayChecks::check_machine_lists() {
+  for (const auto& [name, entries] : machine_listings(store_, partitions_))
+    if (entries.size() > 1)
+      simulation_.add_violation("listed_twice: " + name + " is in the list of partition " +
+                                std::to_string(entries[0].partition) + " and of " +
+                                std::to_string(entries[1].partition));
+}
+
 void EndOfDayChecks::check_recent_response(const UserJob& job, double faults_end) {
   const double since = std::max({job.last_response_at, job.submitted_at, faults_end});
   if (simulation_.now() - since > kMaxResponseGapSeconds)
--- a/tests/standins/fault_injector.cc
+++ b/tests/standins/fault_injector.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <vector>
 
+#include "standins/machine_listings.h"
+
 namespace standins {
 
 void FaultInjector::extend_faults_end(double duration_s) {
@@ -96,6 +98,12 @@
                   duration_s);
 }
 
+void FaultInjector::lose_cloud_responses(double probability, double duration_s) {
+  extend_faults_end(duration_s);
+  set_temporarily(targets_.network.message_faults().lost_cloud_response_probability, probability,
+                  duration_s);
+}
+
 void FaultInjector::delay_temporarily(RandomDelay& delay, double probability, double max_delay_s,
                                       double duration_s) {
   extend_faults_end(duration_s + max_delay_s);
@@ -147,6 +155,16 @@
       duration_s, [this, controller] { targets_.router.set_refused_by_store(controller, false); });
 }
 
+void FaultInjector::list_machines_twice(int count, double later_s) {
+  std::vector<std::string> names;
+  apply_to_machines(count, [&](const Worker& worker) {
+    names.push_back(worker.name);
+    return true;
+  });
+  standins::list_machines_twice(simulation_.now(), targets_.store, options_.controllers, names,
+                                later_s);
+}
+
 void FaultInjector::apply_announced_store_limits() {
   if (options_.announced_store_limits) targets_.store.set_limits(*options_.announced_store_limits);
 }
@@ -161,6 +179,11 @@
 
 void FaultInjector::prevent_boots(int count) { targets_.cloud.boots_to_prevent = count; }
 
+void FaultInjector::boot_early(int count, double boot_s) {
+  targets_.cloud.early_boots = count;
+  targets_.cloud.early_boot_s = boot_s;
+}
+
 void FaultInjector::set_capacity(int machines) {
   for (auto& type : targets_.cloud.types) type.capacity = machines;
 }
--- a/tests/standins/fault_injector.h
+++ b/tests/standins/fault_injector.h
@@ -64,6 +64,8 @@
   void lose_machine_outbound(int count, double duration_s, const std::string& zone = "");
   // Affect single messages with a probability; see MessageFaults.
   void lose_responses(double probability, double duration_s);
+  // Executes controllers' calls to the cloud, but drops this share of the responses.
+  void lose_cloud_responses(double probability, double duration_s);
   void delay_requests(double probability, double max_delay_s, double duration_s);
   void delay_transactions(double probability, double max_delay_s, double duration_s);
   void delay_commands(double probability, double max_delay_s, double duration_s);
@@ -76,6 +78,9 @@
   void slow_store(double max_delay_s, double duration_s);
   // Makes the store respond 503 to all requests of one controller.
   void refuse_store_requests(size_t controller, double duration_s);
+  // Writes machines that are listed into a second partition's list too; see
+  // standins::list_machines_twice().
+  void list_machines_twice(int count, double later_s);
   // Replaces the store's limits permanently by the announced ones, if there are any.
   void apply_announced_store_limits();
 
@@ -84,6 +89,8 @@
   void cloud_outage(double duration_s);
   // Keeps the next `count` rented machines in the state `booting` forever.
   void prevent_boots(int count);
+  // Makes the next `count` rented machines boot after `boot_s` seconds.
+  void boot_early(int count, double boot_s);
   // Sets the cloud's capacity for every machine type in each zone.
   void set_capacity(int machines);
   // Reclaims each spot machine with the probability `share`, `notice_s` after notice is given; at
--- a/tests/standins/network.cc
+++ b/tests/standins/network.cc
@@ -107,6 +107,9 @@
   Random& random = simulation_.random;
   const MessageFaults& faults = message_faults_;
   delivery.is_response_lost = random.bernoulli(faults.lost_response_probability);
+  if (call.target == Target::kCloud && faults.lost_cloud_response_probability > 0 &&
+      random.bernoulli(faults.lost_cloud_response_probability))
+    delivery.is_response_lost = true;
   if (call.target == Target::kStore) {
     if (faults.max_store_delay_s > 0)
       delivery.at += faults.max_store_delay_s * random.uniform_unit();
--- a/tests/standins/network.h
+++ b/tests/standins/network.h
@@ -48,6 +48,8 @@
 struct MessageFaults {
   // Of controllers' calls: the call is executed, but its response is dropped.
   double lost_response_probability = 0;
+  // The same for calls to the cloud alone.
+  double lost_cloud_response_probability = 0;
   RandomDelay delayed_requests;  // calls to the store and to workers
   // Store transactions, which are executed late, after newer ones, and whose response is dropped.
   RandomDelay delayed_transactions;
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -32,7 +32,7 @@
               {network_, cluster_, router_, store_, cloud_, fleet_, ledger_, jobs_, users_,
                unexpected_requests_}),
       starvation_check_(simulation_, jobs_, teams_, ledger_, fleet_),
-      end_of_day_checks_(simulation_, jobs_, ledger_) {
+      end_of_day_checks_(simulation_, jobs_, ledger_, store_, options.controllers) {
   ledger_.add_observer(rules_);
   ledger_.add_observer(users_);
 }
