Look-ups of jobs and tasks by name are checked everywhere

The same form stood in eleven places for jobs and tasks. A record that is missing there now means that the entry is skipped, or that a user gets 503 with Retry-After, instead of the end of the process.

--- a/src/rooksill/agent/reconciler.cc
+++ b/src/rooksill/agent/reconciler.cc
@@ -93,7 +93,9 @@
   }
   if (reported.phase == wire::TaskPhase::kRunning)
     worker.running_since.emplace(reported.task, context_.now.steady);
-  return stop_if_needed(worker, reported, *replica_.job(reported.task.job));
+  const model::Job* job = replica_.job(reported.task.job);
+  if (job == nullptr) return std::nullopt;
+  return stop_if_needed(worker, reported, *job);
 }
 
 void Reconciler::reconcile_exited(Worker& worker, const wire::ReportedTask& reported) {
@@ -131,8 +133,11 @@
 // lease, this applies to the tasks of hundreds of machines at once.
 Reconciler::OptionalCommand Reconciler::reconcile_unreported(Worker& worker,
                                                              const model::TaskRef& ref) {
-  const uint64_t attempt = replica_.task(ref)->attempt;
-  if (can_restart(worker, ref, *replica_.job(ref.job)))
+  const model::Job* job = replica_.job(ref.job);
+  const model::TaskState* task = replica_.task(ref);
+  if (job == nullptr || task == nullptr) return std::nullopt;
+  const uint64_t attempt = task->attempt;
+  if (can_restart(worker, ref, *job))
     return WorkerCommand{WorkerCommand::Op::kStart, ref, attempt, 0};
   if (!worker.tokens.are_earlier_commands_fenced()) return std::nullopt;
   worker.running_since.erase(ref);
--- a/src/rooksill/api/job_canceller.cc
+++ b/src/rooksill/api/job_canceller.cc
@@ -53,7 +53,8 @@
           request, id, [this, request, id, conflicts] { try_cancel(request, id, conflicts + 1); });
     case store::TransactionOutcome::kUnknown:
       return lookup_.read(request, id, [this, request, id] {
-        if (replica_.job(id)->over())
+        const model::Job* job = replica_.job(id);
+        if (job != nullptr && job->over())
           responder_.reply_status(request, id);
         else
           responder_.reply_retry(request);
--- a/src/rooksill/api/poll_queue.cc
+++ b/src/rooksill/api/poll_queue.cc
@@ -66,9 +66,11 @@
     const std::vector<Poll>& group) const {
   std::vector<store::Precondition> preconditions;
   std::set<std::string> ids;
-  for (const Poll& poll : group)
-    if (ids.insert(poll.id).second)
-      preconditions.push_back({wire::job_key(poll.id), replica_.job(poll.id)->revision});
+  for (const Poll& poll : group) {
+    const model::Job* job = replica_.job(poll.id);
+    if (job != nullptr && ids.insert(poll.id).second)
+      preconditions.push_back({wire::job_key(poll.id), job->revision});
+  }
   return preconditions;
 }
 
--- a/src/rooksill/api/responder.cc
+++ b/src/rooksill/api/responder.cc
@@ -9,7 +9,9 @@
 }  // namespace
 
 void Responder::reply_status(uint64_t request, const std::string& id) {
-  context_.reply(request, 200, wire::encode_status(*replica_.job(id)));
+  const model::Job* job = replica_.job(id);
+  if (job == nullptr) return reply_retry(request);
+  context_.reply(request, 200, wire::encode_status(*job));
 }
 
 void Responder::reply_accepted(uint64_t request, const std::string& id) {
--- a/src/rooksill/leader/job_finisher.cc
+++ b/src/rooksill/leader/job_finisher.cc
@@ -15,12 +15,13 @@
 }
 
 bool JobFinisher::record_completion(const std::string& id) {
-  const model::Job& job = *replica_.job(id);
+  const model::Job* job = replica_.job(id);
+  if (job == nullptr) return false;
   model::Job completed;
-  completed.spec.tasks = job.spec.tasks;
+  completed.spec.tasks = job->spec.tasks;
   completed.end = model::JobEnd::kDone;
   const std::string key = wire::job_key(id);
-  return committer_.commit({{key, job.revision}}, {{key, wire::encode_job(completed), 0}},
+  return committer_.commit({{key, job->revision}}, {{key, wire::encode_job(completed), 0}},
                            [this, id, key](const store::TransactionResult& result) {
                              const bool is_outcome_known =
                                  result.outcome == store::TransactionOutcome::kApplied ||
--- a/src/rooksill/leader/pending_work.cc
+++ b/src/rooksill/leader/pending_work.cc
@@ -26,11 +26,11 @@
   const double now = context_.now.steady;
   const double min_pending_s = context_.settings.platform.report_s / kMinPendingTimesPerHeartbeat;
   for (const auto& id : replica_.pending_jobs) {
-    if (owner_.is_backing_off(id)) continue;
-    const model::Job& job = *replica_.job(id);
+    const model::Job* job = replica_.job(id);
+    if (job == nullptr || owner_.is_backing_off(id)) continue;
     uint32_t tasks = 0;
-    for (uint32_t index = 0; index < job.shards.size(); ++index) {
-      const uint32_t unplaced = job.shards[index].unplaced();
+    for (uint32_t index = 0; index < job->shards.size(); ++index) {
+      const uint32_t unplaced = job->shards[index].unplaced();
       if (unplaced == 0) continue;
       const model::ShardId shard{id, index};
       auto known = pending_since_.find(shard);
@@ -38,7 +38,7 @@
       pending_since[shard] = since;
       if (now - since > min_pending_s) tasks += unplaced;
     }
-    if (tasks > 0) work.push_back({&job, tasks});
+    if (tasks > 0) work.push_back({job, tasks});
   }
   pending_since_ = std::move(pending_since);
   std::sort(work.begin(), work.end(), precedes);
--- a/src/rooksill/partition/capacity_tracker.cc
+++ b/src/rooksill/partition/capacity_tracker.cc
@@ -49,14 +49,15 @@
 void CapacityTracker::add_placed_tasks(const agent::Worker& worker,
                                        placement::MachineCapacity& capacity) const {
   for (const auto& ref : replica_.placed_on(worker.name)) {
-    const model::Job& job = *replica_.job(ref.job);
-    capacity.add_task(job);
+    const model::Job* job = replica_.job(ref.job);
+    if (job == nullptr) continue;
+    capacity.add_task(*job);
     const model::TaskState* task = replica_.task(ref);
     if (task != nullptr && evicted_tasks_.contains(ref, task->attempt)) {
-      capacity.evicting += job.spec.request;
-    } else if (job.spec.shape != model::Shape::kGang) {
+      capacity.evicting += job->spec.request;
+    } else if (job->spec.shape != model::Shape::kGang) {
       // Gang tasks are not preemptible: the whole gang would have to be evicted.
-      capacity.cpus_by_priority[static_cast<size_t>(job.spec.priority)] += job.spec.request.cpus;
+      capacity.cpus_by_priority[static_cast<size_t>(job->spec.priority)] += job->spec.request.cpus;
     }
   }
 }
--- a/src/rooksill/partition/placement_pass.cc
+++ b/src/rooksill/partition/placement_pass.cc
@@ -228,7 +228,8 @@
       environment_.context.debug("placement", "task {} on {} evicted to free capacity for job {}",
                                  wire::task_name(ref), worker.name, job.spec.id);
       environment_.context.count("tasks_stopped");
-      environment_.evicted_tasks.mark_evicted(ref, environment_.replica.task(ref)->attempt);
+      if (const model::TaskState* task = environment_.replica.task(ref))
+        environment_.evicted_tasks.mark_evicted(ref, task->attempt);
     }
     environment_.workers.mark_changed(worker);
     environment_.capacities.recompute(worker);
@@ -240,7 +241,9 @@
     const MachineCapacity& machine, model::Priority below) const {
   std::vector<placement::PreemptibleTask> tasks;
   for (const auto& ref : environment_.replica.placed_on(machine.machine)) {
-    const model::JobSpec& spec = environment_.replica.job(ref.job)->spec;
+    const model::Job* job = environment_.replica.job(ref.job);
+    if (job == nullptr) continue;
+    const model::JobSpec& spec = job->spec;
     if (spec.priority >= below || spec.shape == model::Shape::kGang) continue;
     if (environment_.evicted_tasks.contains(ref)) continue;
     tasks.push_back({spec.priority, ref, spec.request});
--- a/src/rooksill/partition/routed_shards.cc
+++ b/src/rooksill/partition/routed_shards.cc
@@ -18,7 +18,8 @@
 bool RoutedShards::route_without_leader() {
   const double interval_s = context_.settings.platform.report_s / kFallbackRoutingsPerHeartbeat;
   if (!fallback_timer_.fire(context_.now.steady, interval_s)) return false;
-  for (const auto& id : replica_.pending_jobs) route_job_without_leader(*replica_.job(id));
+  for (const auto& id : replica_.pending_jobs)
+    if (const model::Job* job = replica_.job(id)) route_job_without_leader(*job);
   return true;
 }
 
