--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -38,9 +38,13 @@
 // Returns the scenario kinds that do not depend on a seed, by name.
 const std::map<std::string, KindFunction>& seedless_kinds() {
   static const std::map<std::string, KindFunction> kKinds{
-      {"fuzz", runner::run_fuzz},         {"http", runner::run_http},
-      {"recorded", runner::run_recorded}, {"replica", runner::run_replica},
-      {"settings", runner::run_settings}, {"sizing", runner::run_sizing},
+      {"fuzz", runner::run_fuzz},
+      {"http", runner::run_http},
+      {"machine_lists", runner::run_machine_lists},
+      {"recorded", runner::run_recorded},
+      {"replica", runner::run_replica},
+      {"settings", runner::run_settings},
+      {"sizing", runner::run_sizing},
   };
   return kKinds;
 }
--- a/tests/runner/replica.cc
+++ b/tests/runner/replica.cc
@@ -7,6 +7,7 @@
 #include "rooksill/model/machine.h"
 #include "rooksill/wire/store_codec.h"
 #include "runner/kinds.h"
+#include "runner/machine_line.h"
 #include "runner/verb_table.h"
 
 namespace runner {
@@ -20,15 +21,7 @@
 // page PARTITION PAGE REVISION MACHINE… [rented=TIME] [taken=0]: applies a page with these
 // machines. The replica has to accept it, or with taken=0 to ignore it.
 void apply_page(Replica& replica, const Line& line) {
-  std::map<std::string, Machine> machines;
-  for (size_t i = 4; i < line.words.size(); ++i) {
-    Machine machine;
-    machine.name = line.words[i];
-    machine.type = "box";
-    machine.zone = "a";
-    machine.rented_at = line.get("rented", 0);
-    machines[machine.name] = machine;
-  }
+  const auto machines = read_machines(line, 4);
   const auto key = rooksill::wire::machines_key(line.integer_at(1), line.integer_at(2));
   const Revision revision{static_cast<uint64_t>(line.integer_at(3))};
   const bool applied = replica.apply(key, rooksill::wire::encode_machines(machines), revision);
