A machine counts as gone only while no known page is newer than the replica

After a page was split, a controller may hold a later version of the shortened page without the new one: the message about the split was lost and a message about the next change arrived, or a listing in several requests read one page before and the other after the split. The machine was then unlisted although `synced_revision` had passed the shard's revision, and a placement elsewhere had all preconditions.

has_current_lists_for() now also requires that no page is newer than `synced_revision`, so that the pages are a state that the store has had. Each response of the watch restores that.

--- a/src/rooksill/store/machine_directory.cc
+++ b/src/rooksill/store/machine_directory.cc
@@ -44,6 +44,7 @@
   };
   MachinePage& known = get_or_add_page(id);
   known.revision = revision;
+  newest_revision_ = std::max(newest_revision_, revision);
   std::vector<std::string> removed;
   for (const auto& [name, machine] : known.machines)
     if (listed.count(name) == 0) removed.push_back(name);
--- a/src/rooksill/store/machine_directory.h
+++ b/src/rooksill/store/machine_directory.h
@@ -38,6 +38,8 @@
   const std::vector<std::vector<MachinePage>>& pages() const { return pages_; }
   // Returns the page; nullptr if it has never been read or written.
   const MachinePage* page(const model::MachinePageId& id) const;
+  // Returns the highest revision of any page.
+  model::Revision newest_revision() const { return newest_revision_; }
   // Returns the machines that are in more than one page, each with all of its pages.
   const std::map<std::string, std::set<model::MachinePageId>>& duplicates() const {
     return duplicates_;
@@ -59,6 +61,7 @@
   std::vector<std::vector<MachinePage>> pages_;
   std::unordered_map<std::string, model::Machine> machines_;
   std::map<std::string, std::set<model::MachinePageId>> duplicates_;
+  model::Revision newest_revision_ = model::kNoRevision;
 };
 
 }  // namespace rooksill::store
--- a/src/rooksill/store/replica.h
+++ b/src/rooksill/store/replica.h
@@ -1,6 +1,7 @@
 // A controller's in-memory copy of the scheduler's records in the key-value store.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -66,9 +67,10 @@
   bool is_machine_unlisted(const std::string& name) const { return machine(name) == nullptr; }
   // Returns whether an unlisted machine of one of the shard's tasks is certain to be gone: all
   // changes up to `synced_revision` are known, and a task's machine is listed before its shard is
-  // written.
+  // written. No page may be newer: the transaction that moved a machine to another page may be
+  // missing where a later version of the former page was listed or received.
   bool has_current_lists_for(const model::TaskShard& shard) const {
-    return synced_revision >= shard.revision;
+    return synced_revision >= std::max(shard.revision, directory_.newest_revision());
   }
   // Returns whether the task needs a machine: it is not done, and it is on no machine or on an
   // unlisted one.
--- a/tests/runner/replica.cc
+++ b/tests/runner/replica.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "rooksill/model/identifiers.h"
+#include "rooksill/model/job.h"
 #include "rooksill/model/machine.h"
 #include "rooksill/wire/store_codec.h"
 #include "runner/kinds.h"
@@ -49,6 +50,19 @@
               0);
 }
 
+// synced REVISION: all changes up to this revision are known.
+void set_synced(Replica& replica, const Line& line) {
+  replica.synced_revision = Revision{static_cast<uint64_t>(line.integer_at(1))};
+}
+
+// certain REVISION 0|1: whether an unlisted machine of a task in a shard of this revision is
+// certain to be gone.
+void expect_certain(Replica& replica, const Line& line) {
+  rooksill::model::TaskShard shard;
+  shard.revision = Revision{static_cast<uint64_t>(line.integer_at(1))};
+  expect_near(line, replica.has_current_lists_for(shard) ? 1 : 0, line.number_at(2), 0);
+}
+
 // gone MACHINE: the replica must not list the machine.
 void expect_unknown(Replica& replica, const Line& line) {
   if (replica.machine(line.word(1)) != nullptr) fail(line, "the machine is still in the replica");
@@ -58,6 +72,8 @@
   static const VerbTable<Replica> kVerbs("verb", {
                                                      {"kind", {}, [](Replica&, const Line&) {}},
                                                      {"page", {"rented", "taken"}, apply_page},
+                                                     {"synced", {}, set_synced},
+                                                     {"certain", {}, expect_certain},
                                                      {"in", {}, expect_in_partition},
                                                      {"duplicates", {}, expect_duplicates},
                                                      {"on", {}, expect_on_page},
