Machine lists: changes decided under a machine's former partition are dropped

After the repair of the lists a machine that stood twice may belong to another partition than before. Its new owner may have restarted a lost task there in place, which changes nothing in the store, so a pending loss or placement of the former owner is not written any more: a change is written only while its machine is unlisted or belongs to the partition that it was decided under.

Besides: pages that are to be split are left alone by the repair only once splitting is allowed, the repair is logged and counted (`duplicate_listings`) when it is sent, an entry that is read again without duplicates costs no search, and the stand-in's look at the lists passes over missing pages.

--- a/src/rooksill/changes/shard_update.cc
+++ b/src/rooksill/changes/shard_update.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "rooksill/model/coordination.h"
+#include "rooksill/model/machine.h"
 #include "rooksill/wire/store_codec.h"
 #include "rooksill/wire/store_keys.h"
 
@@ -64,11 +65,16 @@
 // including that of the previous machine. If a partition had another owner in between, that owner
 // may have restarted a lost task on its machine, which changes nothing in the store.
 bool ShardUpdate::has_current_leases(const TaskChange& change) const {
-  if (!owned_partitions_.owns_under_lease(change.machine.partition, change.machine.lease_revision))
-    return false;
-  return !change.previous_machine ||
-         owned_partitions_.owns_under_lease(change.previous_machine->partition,
-                                            change.previous_machine->lease_revision);
+  return is_lease_current(change.machine) &&
+         (!change.previous_machine || is_lease_current(*change.previous_machine));
+}
+
+// A machine that was in two lists may belong to another partition since the decision, and thus be
+// under another lease.
+bool ShardUpdate::is_lease_current(const LeasedMachine& machine) const {
+  const model::Machine* listed = replica_.machine(machine.name);
+  if (listed != nullptr && listed->partition != machine.partition) return false;
+  return owned_partitions_.owns_under_lease(machine.partition, machine.lease_revision);
 }
 
 bool ShardUpdate::apply_change(const TaskChange& change, model::TaskState& state) const {
--- a/src/rooksill/changes/shard_update.h
+++ b/src/rooksill/changes/shard_update.h
@@ -66,6 +66,7 @@
   const std::vector<RemovedChange>& removed() const { return removed_; }
 
  private:
+  bool is_lease_current(const LeasedMachine& machine) const;
   bool has_current_leases(const TaskChange& change) const;
   bool apply_change(const TaskChange& change, model::TaskState& state) const;
   bool apply_placement(const TaskChange& change, model::TaskState& state) const;
--- a/src/rooksill/fleet/machine_lists.cc
+++ b/src/rooksill/fleet/machine_lists.cc
@@ -8,6 +8,7 @@
 
 #include "rooksill/membership/upgrade.h"
 #include "rooksill/model/value_sizes.h"
+#include "rooksill/store/machine_directory.h"
 #include "rooksill/wire/store_codec.h"
 #include "rooksill/wire/store_keys.h"
 
@@ -119,7 +120,8 @@
   return page == nullptr ? model::kNoRevision : page->revision;
 }
 
-bool MachineLists::is_oversized(const PageId& id) const {
+bool MachineLists::is_split_due(const PageId& id) const {
+  if (!membership::Upgrade::is_complete(replica_)) return false;
   const store::MachinePage* page = replica_.directory().page(id);
   return page != nullptr && page->machines.size() > replica_.machines_per_page();
 }
@@ -160,12 +162,11 @@
     // Another transaction on the page ensures that the machine is not added late.
     if (is_open(attempt)) changed.insert(attempt->page);
   }
-  if (!membership::Upgrade::is_complete(replica_)) return changed;
   // Pages written under a higher limit are split as soon as every controller supports splits: once
   // the lower limit is in force, the store rejects any other change to them.
   for (int partition = 0; partition < static_cast<int>(replica_.leases.size()); ++partition)
     for (int page = 0; page < page_count(partition); ++page)
-      if (is_oversized({partition, page})) changed.insert({partition, page});
+      if (is_split_due({partition, page})) changed.insert({partition, page});
   return changed;
 }
 
@@ -268,7 +269,7 @@
     const PageId kept_in = machine->page_id();
     for (const PageId& from : pages) {
       if (from == kept_in || is_in_flight(from) || is_in_flight(kept_in)) continue;
-      if (is_oversized(from) || is_oversized(kept_in)) continue;
+      if (is_split_due(from) || is_split_due(kept_in)) continue;
       remove_duplicates(from, kept_in);
     }
   }
@@ -284,19 +285,19 @@
     const model::Machine* machine = replica_.machine(entry.first);
     return machine != nullptr && machine->page_id() == kept_in;
   });
-  context_.info("fleet",
-                "{} machines are in page {} of partition {} and in page {} of partition {}; "
-                "removing them from the former",
-                planned - remaining.size(), from.page, from.partition, kept_in.page,
-                kept_in.partition);
-  context_.count("duplicate_listings_removed", static_cast<double>(planned - remaining.size()));
+  const size_t duplicates = planned - remaining.size();
   PageTransaction transaction = begin_transaction();
   add_page(from, std::move(remaining), transaction);
   add_page(kept_in, plan_page(kept_in), transaction);
-  commit(std::move(transaction));
+  if (!commit(std::move(transaction))) return;
+  context_.count("duplicate_listings", static_cast<double>(duplicates));
+  context_.info("fleet",
+                "{} machines are in page {} of partition {} and in page {} of partition {}; "
+                "removing them from the former",
+                duplicates, from.page, from.partition, kept_in.page, kept_in.partition);
 }
 
-void MachineLists::commit(PageTransaction transaction) {
+bool MachineLists::commit(PageTransaction transaction) {
   const auto unlock = [this, term = term_count_, pages = transaction.pages] {
     if (term != term_count_) return;
     for (const PageId& page : pages) pages_in_flight_.erase(page);
@@ -311,13 +312,14 @@
       unlock();
   };
   if (!committer_.commit(transaction.preconditions, std::move(transaction.writes), on_result))
-    return;
+    return false;
   pages_in_flight_.insert(transaction.pages.begin(), transaction.pages.end());
   for (const auto& name : transaction.additions) {
     Addition& addition = pending_additions_.at(name);
     const PageId id = addition.machine.page_id();
     addition.last_attempt = Attempt{id, page_revision(id)};
   }
+  return true;
 }
 
 }  // namespace rooksill::fleet
--- a/src/rooksill/fleet/machine_lists.h
+++ b/src/rooksill/fleet/machine_lists.h
@@ -99,7 +99,8 @@
   int page_with_capacity(int partition) const;
   int page_count(int partition) const;
   model::Revision page_revision(const PageId& id) const;
-  bool is_oversized(const PageId& id) const;
+  // Returns whether the page contains more machines than it should, and may be split.
+  bool is_split_due(const PageId& id) const;
   bool is_in_flight(const PageId& id) const { return pages_in_flight_.count(id) != 0; }
   // Returns whether the transaction may still be applied.
   bool is_open(const std::optional<Attempt>& attempt) const;
@@ -115,7 +116,8 @@
   void write_page(const PageId& id);
   void remove_duplicates();
   void remove_duplicates(const PageId& from, const PageId& kept_in);
-  void commit(PageTransaction transaction);
+  // Returns false if the store's rate limits allow no transaction now.
+  bool commit(PageTransaction transaction);
 
   runtime::Context& context_;
   const store::Replica& replica_;
--- a/src/rooksill/leader/machine_status_table.cc
+++ b/src/rooksill/leader/machine_status_table.cc
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "rooksill/store/machine_directory.h"
+
 namespace rooksill::leader {
 
 bool MachineStatusTable::owns_machine(const std::string& label, const std::string& machine) const {
--- a/src/rooksill/partition/partition_owner.cc
+++ b/src/rooksill/partition/partition_owner.cc
@@ -9,6 +9,7 @@
 #include "rooksill/partition/machine_status.h"
 #include "rooksill/placement/machine_capacity.h"
 #include "rooksill/quota/quota_shares.h"
+#include "rooksill/store/machine_directory.h"
 
 namespace rooksill::partition {
 
--- a/src/rooksill/store/machine_directory.cc
+++ b/src/rooksill/store/machine_directory.cc
@@ -61,9 +61,14 @@
   entry.page = id.page;
   const auto [record, is_new] = machines_.try_emplace(machine.name, entry);
   if (is_new) return;
-  std::set<model::MachinePageId> containing{id, record->second.page_id()};
   const auto duplicate = duplicates_.find(machine.name);
-  if (duplicate != duplicates_.end()) containing.merge(duplicate->second);
+  if (duplicate == duplicates_.end() && record->second.page_id() == id) {
+    record->second = entry;
+    return;
+  }
+  std::set<model::MachinePageId> containing{id, record->second.page_id()};
+  if (duplicate != duplicates_.end())
+    containing.insert(duplicate->second.begin(), duplicate->second.end());
   choose_record(machine.name, containing);
 }
 
--- a/src/rooksill/store/replica_machines.cc
+++ b/src/rooksill/store/replica_machines.cc
@@ -1,6 +1,7 @@
 // Replica: machine lists, by partition and page.
 #include <nlohmann/json.hpp>
 
+#include "rooksill/store/machine_directory.h"
 #include "rooksill/store/replica.h"
 #include "rooksill/wire/store_codec.h"
 
--- a/tests/runner/machine_lists.cc
+++ b/tests/runner/machine_lists.cc
@@ -13,6 +13,7 @@
 #include "rooksill/settings/settings.h"
 #include "rooksill/store/client.h"
 #include "rooksill/store/committer.h"
+#include "rooksill/store/machine_directory.h"
 #include "rooksill/store/replica.h"
 #include "rooksill/wire/store_codec.h"
 #include "rooksill/wire/store_keys.h"
--- a/tests/standins/machine_listings.cc
+++ b/tests/standins/machine_listings.cc
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <nlohmann/json.hpp>
 
+#include "rooksill/wire/decoded.h"
 #include "rooksill/wire/store_codec.h"
 #include "rooksill/wire/store_keys.h"
 
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr int kMaxPages = 100;  // of a partition; pages may be missing in between
+
 Page read_page(const KeyValueStore& store, int partition, int page) {
   const nlohmann::json* value = store.value(wire::machines_key(partition, page));
   if (value == nullptr) return {};
@@ -33,7 +36,7 @@
     const KeyValueStore& store, size_t partitions) {
   std::map<std::string, std::vector<rooksill::model::Machine>> listings;
   for (int partition = 0; partition < static_cast<int>(partitions); ++partition) {
-    for (int page = 0; store.value(wire::machines_key(partition, page)) != nullptr; ++page) {
+    for (int page = 0; page < kMaxPages; ++page) {
       for (auto [name, machine] : read_page(store, partition, page)) {
         machine.partition = partition;
         machine.page = page;
