Test code of the machine lists: one check for duplicates, one loop for lines of a kind

The check at the end of every world and the expectation machines_listed_once searched the lists in the same way; both use standins::duplicate_listings() now. The kinds replica and machine_lists check and run their lines with VerbTable::run_all(). The kind machine_lists takes the path of reads from the codec.

No assertion changes.

--- a/src/rooksill/store/machine_directory.cc
+++ b/src/rooksill/store/machine_directory.cc
@@ -86,7 +86,7 @@
 
 void MachineDirectory::choose_record(const std::string& name,
                                      const std::set<model::MachinePageId>& containing) {
-  // Machine has no name of a page, so the entries are compared with the revisions of their pages.
+  // In the order of the class comment; the complement of the revision puts the newest page first.
   using Precedence = std::tuple<double, int, uint64_t, int>;
   const auto precedence = [&](const model::MachinePageId& id) {
     const MachinePage& page = get_or_add_page(id);
--- a/tests/runner/machine_lists.cc
+++ b/tests/runner/machine_lists.cc
@@ -17,6 +17,7 @@
 #include "rooksill/store/replica.h"
 #include "rooksill/wire/store_codec.h"
 #include "rooksill/wire/store_keys.h"
+#include "rooksill/wire/store_protocol_codec.h"
 #include "runner/kinds.h"
 #include "runner/machine_line.h"
 #include "runner/verb_table.h"
@@ -65,16 +66,14 @@
   }
   // Responds to the oldest request with this status and revision.
   void respond(int status, uint64_t revision) {
-    Request request = std::move(requests_.front());
-    requests_.pop_front();
-    request.handler(CallDone{0, status, json{{"epoch", revision}}.dump()});
+    take_request().handler(CallDone{0, status, json{{"epoch", revision}}.dump()});
   }
   // Responds to all reads that the pages are as the replica knows them.
   void answer_reads() {
-    while (!requests_.empty() && requests_.front().path.rfind("/store/", 0) == 0) {
-      Request request = std::move(requests_.front());
-      requests_.pop_front();
-      request.handler(read_response(request.path.substr(std::string("/store/").size())));
+    const std::string read_prefix = rooksill::wire::read_path("");
+    while (!requests_.empty() && requests_.front().path.rfind(read_prefix, 0) == 0) {
+      const Request request = take_request();
+      request.handler(read_response(request.path.substr(read_prefix.size())));
     }
   }
 
@@ -85,6 +84,12 @@
     rooksill::runtime::CallHandler handler;
   };
 
+  Request take_request() {
+    Request request = std::move(requests_.front());
+    requests_.pop_front();
+    return request;
+  }
+
   CallDone read_response(const std::string& key) const {
     const auto parsed = rooksill::wire::parse_store_key(key);
     const auto* page = replica_.directory().page({parsed->partition, parsed->page});
@@ -184,9 +189,8 @@
 }  // namespace
 
 void run_machine_lists(const std::vector<Line>& lines) {
-  for (const auto& line : lines) verbs().check(line);
   LeaderLists leader;
-  for (const auto& line : lines) verbs().run(leader, line);
+  verbs().run_all(leader, lines);
 }
 
 }  // namespace runner
--- a/tests/runner/replica.cc
+++ b/tests/runner/replica.cc
@@ -87,9 +87,8 @@
 // Applies pages one by one, as the changes of a transaction arrive, and checks between and after
 // them which machines the replica lists.
 void run_replica(const std::vector<Line>& lines) {
-  for (const auto& line : lines) verbs().check(line);
   Replica replica{rooksill::PlatformSettings{}};
-  for (const auto& line : lines) verbs().run(replica, line);
+  verbs().run_all(replica, lines);
 }
 
 }  // namespace runner
--- a/tests/runner/verb_table.h
+++ b/tests/runner/verb_table.h
@@ -37,6 +37,11 @@
 
   // Calls the handler of the line's verb. Throws a Failure if the verb is unknown.
   void run(Context& context, const Line& line) const { find_verb(line).handler(context, line); }
+  // Checks all lines, then runs them in order.
+  void run_all(Context& context, const std::vector<Line>& lines) const {
+    for (const Line& line : lines) check(line);
+    for (const Line& line : lines) run(context, line);
+  }
 
  private:
   const Verb<Context>& find_verb(const Line& line) const {
--- a/tests/runner/world_expectations.cc
+++ b/tests/runner/world_expectations.cc
@@ -146,10 +146,8 @@
 
 // In the store each machine is in one page of one list.
 void machines_listed_once(const World& world, const Line& line) {
-  for (const auto& [name, entries] :
-       standins::machine_listings(world.store(), world.controller_count()))
-    if (entries.size() > 1)
-      fail(line, name + " is listed " + std::to_string(entries.size()) + " times");
+  const auto duplicates = standins::duplicate_listings(world.store(), world.controller_count());
+  if (!duplicates.empty()) fail(line, duplicates.front());
 }
 
 void has_leader(const World& world, const Line& line) {
--- a/tests/standins/end_of_day_checks.cc
+++ b/tests/standins/end_of_day_checks.cc
@@ -33,11 +33,8 @@
 }
 
 void EndOfDayChecks::check_machine_lists() {
-  for (const auto& [name, entries] : machine_listings(store_, partitions_))
-    if (entries.size() > 1)
-      simulation_.add_violation("listed_twice: " + name + " is in the list of partition " +
-                                std::to_string(entries[0].partition) + " and of " +
-                                std::to_string(entries[1].partition));
+  for (const std::string& duplicate : duplicate_listings(store_, partitions_))
+    simulation_.add_violation("listed_twice: " + duplicate);
 }
 
 void EndOfDayChecks::check_recent_response(const UserJob& job, double faults_end) {
--- a/tests/standins/end_of_day_checks.h
+++ b/tests/standins/end_of_day_checks.h
@@ -1,4 +1,4 @@
-// Checks at the end of a run whether users' jobs were served.
+// Checks at the end of a run whether users' jobs were served and the machine lists are consistent.
 #pragma once
 
 #include <cstddef>
@@ -16,10 +16,10 @@
 //   forgotten  no response reported the status of a job for more than 75 s after the faults ended
 //   unserved   fewer than half of the jobs of a class, of a team, or of the largest tenth of a
 //              class, by number of tasks, started
-//   listed_twice  a machine is in more than one page of the partitions' lists
 //   late       a job in the largest tenth of a class did not start within four minutes
 // Jobs submitted less than 45 s before the end, or before 45 s after the faults, are checked only
-// for the first.
+// for the first. Of the machine lists:
+//   listed_twice  a machine is in more than one page of the partitions' lists
 class EndOfDayChecks {
  public:
   EndOfDayChecks(Simulation& simulation, const UserJobs& jobs, const TaskLedger& ledger,
--- a/tests/standins/machine_listings.cc
+++ b/tests/standins/machine_listings.cc
@@ -1,6 +1,5 @@
 #include "standins/machine_listings.h"
 
-#include <cstddef>
 #include <nlohmann/json.hpp>
 
 #include "rooksill/wire/decoded.h"
@@ -47,6 +46,17 @@
   return listings;
 }
 
+std::vector<std::string> duplicate_listings(const KeyValueStore& store, size_t partitions) {
+  std::vector<std::string> descriptions;
+  for (const auto& [name, entries] : machine_listings(store, partitions)) {
+    if (entries.size() < 2) continue;
+    descriptions.push_back(name + " is listed " + std::to_string(entries.size()) +
+                           " times: in partition " + std::to_string(entries[0].partition) +
+                           " and " + std::to_string(entries[1].partition));
+  }
+  return descriptions;
+}
+
 void list_machines_twice(double now, KeyValueStore& store, size_t partitions,
                          const std::vector<std::string>& names, double later_s) {
   const auto listings = machine_listings(store, partitions);
--- a/tests/standins/machine_listings.h
+++ b/tests/standins/machine_listings.h
@@ -1,6 +1,7 @@
 // The partitions' lists of machines as they are in the simulated store.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,6 +15,9 @@
 std::map<std::string, std::vector<rooksill::model::Machine>> machine_listings(
     const KeyValueStore& store, size_t partitions);
 
+// Returns a description of each machine that is in more than one page, ordered by name.
+std::vector<std::string> duplicate_listings(const KeyValueStore& store, size_t partitions);
+
 // Adds the machines to the first page of the next partition too, as versions before the check of
 // MachineLists::add() could. The entries there have rental times that are later by `later_s`.
 void list_machines_twice(double now, KeyValueStore& store, size_t partitions,
