--- a/tests/runner/world_actions.cc
+++ b/tests/runner/world_actions.cc
@@ -13,6 +13,7 @@
 
 using standins::CutMode;
 using standins::Link;
+using standins::RequestLink;
 using standins::World;
 
 namespace {
@@ -44,6 +45,16 @@
   fail(line, "unknown link '" + link + "'");
 }
 
+RequestLink request_link(const Line& line) {
+  const std::string& link = line.word(1);
+  if (link == "workers") return RequestLink::kWorkers;
+  if (link == "store") return RequestLink::kStore;
+  if (link == "cloud") return RequestLink::kCloud;
+  if (link == "peers") return RequestLink::kPeers;
+  if (link == "users") return RequestLink::kUsers;
+  fail(line, "unknown link '" + link + "'");
+}
+
 // Returns the index of the controller that the word names: a number, `leader`, or `other`, which is
 // the one after the leader.
 size_t controller_at(const World& world, const Line& line, size_t word) {
@@ -176,6 +187,11 @@
   world.faults().duplicate_heartbeats(chance(line), line.get("by", 20), duration(line));
 }
 
+void duplicate_requests(World& world, const Line& line) {
+  world.faults().duplicate_requests(request_link(line), chance(line), line.get("by", 20),
+                                    duration(line));
+}
+
 // ---- store, cloud and machines -------------------------------------------------------------
 
 void store_outage(World& world, const Line& line) { world.faults().store_outage(duration(line)); }
@@ -255,6 +271,7 @@
                     {"delay_transactions", {"chance", "by", "for"}, delay_transactions},
                     {"delay_commands", {"chance", "by", "for"}, delay_commands},
                     {"duplicate_heartbeats", {"chance", "by", "for"}, duplicate_heartbeats},
+                    {"duplicate_requests", {"chance", "by", "for"}, duplicate_requests},
                     {"store_outage", {"for"}, store_outage},
                     {"slow_store", {"by", "for"}, slow_store},
                     {"refuse_at_store", {"for"}, refuse_at_store},
--- a/tests/runner/world_scenario.cc
+++ b/tests/runner/world_scenario.cc
@@ -29,6 +29,8 @@
     if (world_) fail(line, "'world' has to come before all other statements");
     return options_;
   }
+  // Returns the options.
+  const WorldOptions& options() const { return options_; }
   // Returns the world; creates it on the first call.
   World& world() {
     if (!world_) world_ = std::make_unique<World>(options_);
@@ -112,6 +114,15 @@
                                    line.get_integer("count", 8));
 }
 
+// Applies to the seeds from `first_seed` on. The runs of the seeds before it do not change.
+void random_duplicates(Deployment& deployment, const Line& line) {
+  World& world = deployment.world();
+  if (static_cast<double>(deployment.options().seed) < line.get("first_seed", 0)) return;
+  standins::schedule_random_duplicates(world.simulation(), world.faults(),
+                                       deployment.options().lease_s, line.get("from", 10),
+                                       line.get("to", 60), line.get_integer("count", 4));
+}
+
 void run(Deployment& deployment, const Line& line) {
   deployment.world().run_until(line.number_at(1));
 }
@@ -137,6 +148,7 @@
           {"team", {"cpus", "max"}, team},
           {"start", {}, start},
           {"random_faults", {"from", "to", "count"}, random_faults},
+          {"random_duplicates", {"from", "to", "count", "first_seed"}, random_duplicates},
           {"run", {}, run},
       });
   return kStatements;
--- a/tests/standins/fault_injector.cc
+++ b/tests/standins/fault_injector.cc
@@ -134,6 +134,13 @@
                     max_delay_s, duration_s);
 }
 
+void FaultInjector::duplicate_requests(RequestLink link, double probability, double max_delay_s,
+                                       double duration_s) {
+  const auto index = static_cast<size_t>(link);
+  delay_temporarily(targets_.network.message_faults().duplicate_requests[index], probability,
+                    std::max(Network::kMinDuplicateDelaySeconds, max_delay_s), duration_s);
+}
+
 // ---- store ---------------------------------------------------------------------------------
 
 void FaultInjector::store_outage(double duration_s) {
--- a/tests/standins/fault_injector.h
+++ b/tests/standins/fault_injector.h
@@ -70,6 +70,13 @@
   void delay_transactions(double probability, double max_delay_s, double duration_s);
   void delay_commands(double probability, double max_delay_s, double duration_s);
   void duplicate_heartbeats(double probability, double max_delay_s, double duration_s);
+  // Delivers copies of requests that were carried out and answered, from
+  // Network::kMinDuplicateDelaySeconds to `max_delay_s` after the response: commands to workers;
+  // transactions and lease requests to the store; rentals and releases; messages between
+  // controllers; users' submissions and cancellations. Only requests that may change something are
+  // copied.
+  void duplicate_requests(RequestLink link, double probability, double max_delay_s,
+                          double duration_s);
 
   // The key-value store.
   // Makes the store respond 503 to all requests.
--- a/tests/standins/message_router.cc
+++ b/tests/standins/message_router.cc
@@ -16,6 +16,20 @@
 
 namespace {
 
+constexpr int kHttpOk = 200;
+
+RequestLink link_to(Target target) {
+  switch (target) {
+    case Target::kStore:
+      return RequestLink::kStore;
+    case Target::kCloud:
+      return RequestLink::kCloud;
+    case Target::kWorker:
+      break;
+  }
+  return RequestLink::kWorkers;
+}
+
 // Returns the index of a controller from its label: "c0", "c1", etc.
 size_t index_of(const std::string& label) { return std::stoul(label.substr(1)); }
 
@@ -33,12 +47,19 @@
   const auto arrives_at = network_.route_to_peer(from, to);
   if (!arrives_at) return;
   simulation_.events.at(*arrives_at, [this, to, bytes = message.bytes] {
-    if (cluster_.version(to) == ControllerVersion::kFirst && !is_readable_by_first_version(bytes))
-      return;
-    cluster_.deliver(to, PeerMessage{bytes});
+    deliver_peer_message(to, bytes);
+    const auto delay = network_.draw_duplicate(RequestLink::kPeers);
+    if (delay)
+      simulation_.events.after(*delay, [this, to, bytes] { deliver_peer_message(to, bytes); });
   });
 }
 
+void MessageRouter::deliver_peer_message(size_t to, const std::string& bytes) {
+  if (cluster_.version(to) == ControllerVersion::kFirst && !is_readable_by_first_version(bytes))
+    return;
+  cluster_.deliver(to, PeerMessage{bytes});
+}
+
 void MessageRouter::check_known_to_first_version(size_t from, const std::string& message) {
   if (store_.has_upgrade_record() && cluster_.version(from) == ControllerVersion::kCurrent) return;
   const std::string unknown = unknown_to_first_version(message);
@@ -54,14 +75,23 @@
   if (!delivery) return;
   simulation_.events.at(
       delivery->at, [this, from, call, on_response, is_response_lost = delivery->is_response_lost] {
-        execute(from, call, [this, on_response, is_response_lost](const HttpResponse& response) {
-          if (is_response_lost) return;
-          simulation_.events.after(network_.draw_latency(),
-                                   [on_response, response] { on_response(response); });
-        });
+        execute(from, call,
+                [this, from, call, on_response, is_response_lost](const HttpResponse& response) {
+                  if (is_response_lost) return;
+                  simulation_.events.after(network_.draw_latency(),
+                                           [on_response, response] { on_response(response); });
+                  if (response.status == kHttpOk && call.method != "GET") duplicate(from, call);
+                });
       });
 }
 
+void MessageRouter::duplicate(size_t from, const Call& call) {
+  const auto delay = network_.draw_duplicate(link_to(call.target));
+  if (!delay) return;
+  simulation_.events.after(*delay,
+                           [this, from, call] { execute(from, call, [](const HttpResponse&) {}); });
+}
+
 // Later responses are ignored, as are responses to a process that has been restarted since.
 MessageRouter::ResponseHandler MessageRouter::respond_once(size_t from, uint64_t call_id) {
   return [this, from, call_id, generation = cluster_.generation(from),
--- a/tests/standins/message_router.h
+++ b/tests/standins/message_router.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <set>
+#include <string>
 
 #include "standins/cloud.h"
 #include "standins/controller_cluster.h"
@@ -33,7 +34,7 @@
   // Delivers a message to another controller, unless the network drops it.
   void on_peer_message(size_t from, const rooksill::runtime::PeerSend& message) override;
   // Executes a call at its target and returns the response to the caller. Reports status 0 after
-  // the call's timeout.
+  // the call's timeout. A request that was carried out and answered may be executed a second time.
   void on_call(size_t from, const rooksill::runtime::Call& call) override;
 
   // Sets whether the store responds 503 to every request of this controller.
@@ -50,6 +51,10 @@
   void check_known_to_first_version(size_t from, const std::string& message);
   // Returns a handler that delivers the first response to the process that made the call.
   ResponseHandler respond_once(size_t from, uint64_t call_id);
+  void deliver_peer_message(size_t to, const std::string& bytes);
+  // Executes a call that was carried out again after a delay, if the network draws a copy of it.
+  // Nobody receives the second response.
+  void duplicate(size_t from, const rooksill::runtime::Call& call);
   // Executes the call at its target, which may respond later or not at all.
   void execute(size_t from, const rooksill::runtime::Call& call,
                const ResponseHandler& on_response);
--- a/tests/standins/network.cc
+++ b/tests/standins/network.cc
@@ -128,6 +128,13 @@
     delivery.at += faults.delayed_commands.max_delay_s * random.uniform_unit();
 }
 
+std::optional<double> Network::draw_duplicate(RequestLink link) {
+  const RandomDelay& duplicates = message_faults_.duplicate_requests[static_cast<size_t>(link)];
+  if (duplicates.probability <= 0 || !simulation_.random.bernoulli(duplicates.probability))
+    return std::nullopt;
+  return simulation_.random.uniform(kMinDuplicateDelaySeconds, duplicates.max_delay_s);
+}
+
 HeartbeatRoute Network::route_heartbeat(const std::string& machine, size_t controller) const {
   using Disposition = HeartbeatRoute::Disposition;
   const MachineLink& link = machines_.at(machine);
--- a/tests/standins/network.h
+++ b/tests/standins/network.h
@@ -1,6 +1,7 @@
 // The simulated network between controllers, workers, the key-value store and the cloud.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -14,6 +15,10 @@
 // The connections of a controller that faults can cut separately.
 enum class Link { kStore, kCloud, kWorkers, kPeers, kAll };
 
+// The outside links on which requests may be delivered twice; see FaultInjector.
+enum class RequestLink { kWorkers, kStore, kCloud, kPeers, kUsers };
+inline constexpr size_t kRequestLinkCount = 5;
+
 // What happens to packets while a link is cut.
 enum class CutMode {
   kDrop,  // they are dropped
@@ -57,6 +62,8 @@
   RandomDelay delayed_commands;
   RandomDelay duplicate_heartbeats;  // a copy arrives late at a random controller
   double max_store_delay_s = 0;      // upper limit of the delay added to each store request
+  // Requests that were carried out and answered: a copy arrives late. Indexed by RequestLink.
+  std::array<RandomDelay, kRequestLinkCount> duplicate_requests;
 };
 
 // The arrival of a call that is not dropped.
@@ -76,6 +83,7 @@
 class Network {
  public:
   static constexpr double kMinTransactionDelaySeconds = 1;  // of delayed transactions
+  static constexpr double kMinDuplicateDelaySeconds = 2;    // from a response to the request's copy
 
   explicit Network(Simulation& simulation) : simulation_(simulation) {}
 
@@ -101,6 +109,9 @@
   std::optional<double> route_to_peer(size_t from, size_t to);
   // Returns the arrival of a call to the store, the cloud or a worker, or nullopt if it is dropped.
   std::optional<Delivery> route_call(size_t from, const rooksill::runtime::Call& call);
+  // Returns after how many seconds a copy of a request arrives that was just answered on this link,
+  // or nullopt if there is none. Draws random numbers only while such copies are enabled.
+  std::optional<double> draw_duplicate(RequestLink link);
   // Returns whether and when a heartbeat of the machine reaches the controller.
   HeartbeatRoute route_heartbeat(const std::string& machine, size_t controller) const;
   // Returns whether the response to a heartbeat that arrives at the controller now is dropped.
--- a/tests/standins/random_faults.cc
+++ b/tests/standins/random_faults.cc
@@ -183,4 +183,22 @@
   }
 }
 
+void schedule_random_duplicates(Simulation& simulation, FaultInjector& faults, double lease_s,
+                                double from, double to, int count) {
+  constexpr double kMinDurationSeconds = 3, kMaxDurationSeconds = 20;
+  constexpr double kMinProbability = 0.1, kMaxProbability = 0.6;
+  constexpr double kMinDelayLeases = 0.5, kMaxDelayLeases = 4;
+  Random& random = simulation.random;
+  for (int i = 0; i < count; ++i) {
+    const double at = random.uniform(from, to);
+    const double duration_s = random.uniform(kMinDurationSeconds, kMaxDurationSeconds);
+    const auto link = static_cast<RequestLink>(random.index(kRequestLinkCount));
+    const double probability = random.uniform(kMinProbability, kMaxProbability);
+    const double max_delay_s = lease_s * random.uniform(kMinDelayLeases, kMaxDelayLeases);
+    simulation.events.at(at, [&faults, link, probability, max_delay_s, duration_s] {
+      faults.duplicate_requests(link, probability, max_delay_s, duration_s);
+    });
+  }
+}
+
 }  // namespace standins
--- a/tests/standins/users.cc
+++ b/tests/standins/users.cc
@@ -17,9 +17,22 @@
 
 }  // namespace
 
-void Users::request(size_t controller, HttpRequest request,
+void Users::request(size_t controller, const HttpRequest& request,
                     const ControllerCluster::ResponseHandler& on_response) {
-  cluster_.request(controller, std::move(request), kRequestTimeoutSeconds, on_response);
+  cluster_.request(controller, request, kRequestTimeoutSeconds,
+                   [this, request, on_response](const HttpResponse& response) {
+                     on_response(response);
+                     if (response.status == 200 || response.status == 201) duplicate(request);
+                   });
+}
+
+void Users::duplicate(const HttpRequest& request) {
+  const auto delay = network_.draw_duplicate(RequestLink::kUsers);
+  if (!delay) return;
+  simulation_.events.after(*delay, [this, request] {
+    cluster_.request(cluster_.random_controller(), request, kRequestTimeoutSeconds,
+                     [](const HttpResponse&) {});
+  });
 }
 
 void Users::retry_after(double delay_s, void (Users::*action)(const std::string&),
--- a/tests/standins/users.h
+++ b/tests/standins/users.h
@@ -6,6 +6,7 @@
 
 #include "standins/controller_cluster.h"
 #include "standins/http_message.h"
+#include "standins/network.h"
 #include "standins/rule_checker.h"
 #include "standins/simulation.h"
 #include "standins/task_ledger.h"
@@ -16,8 +17,9 @@
 // Sends requests to random controllers and has the rule checker check the responses.
 class Users : public TaskObserver {
  public:
-  Users(Simulation& simulation, ControllerCluster& cluster, RuleChecker& rules, UserJobs& jobs)
-      : simulation_(simulation), cluster_(cluster), rules_(rules), jobs_(jobs) {}
+  Users(Simulation& simulation, Network& network, ControllerCluster& cluster, RuleChecker& rules,
+        UserJobs& jobs)
+      : simulation_(simulation), network_(network), cluster_(cluster), rules_(rules), jobs_(jobs) {}
 
   // Submits a job, with retries for up to a minute until it is accepted or rejected. Polls its
   // status once it is accepted.
@@ -31,8 +33,9 @@
   // Makes users cancel each job, with this probability, at the moment its last task completes.
   void set_cancel_on_completion(double probability) { cancel_on_completion_ = probability; }
 
-  // Sends a request without retries.
-  void request(size_t controller, HttpRequest request,
+  // Sends a submission or a cancellation without retries. If it was carried out, a copy may arrive
+  // late at any controller; nobody receives the second response.
+  void request(size_t controller, const HttpRequest& request,
                const ControllerCluster::ResponseHandler& on_response);
 
   // Returns whether each job has a final status, was rejected, or was not accepted within the time
@@ -52,7 +55,10 @@
   void retry_after(double delay_s, void (Users::*action)(const std::string&),
                    const std::string& job_id);
 
+  void duplicate(const HttpRequest& request);
+
   Simulation& simulation_;
+  Network& network_;
   ControllerCluster& cluster_;
   RuleChecker& rules_;
   UserJobs& jobs_;
--- a/tests/standins/world.cc
+++ b/tests/standins/world.cc
@@ -26,7 +26,7 @@
              {options.heartbeat_s, options.lease_s, options.gang_wait_s, options.gang_peer_s}),
       router_(simulation_, network_, cluster_, fleet_, store_, cloud_),
       rules_(simulation_, jobs_, teams_, ledger_, cloud_, options.cancel_s),
-      users_(simulation_, cluster_, rules_, jobs_),
+      users_(simulation_, network_, cluster_, rules_, jobs_),
       unexpected_requests_(simulation_, cluster_, users_, jobs_),
       faults_(simulation_, options_,
               {network_, cluster_, router_, store_, cloud_, fleet_, ledger_, jobs_, users_,
