A task's attempt is removed from a worker only under a token above those of its starts

Cause: a worker knows an attempt until its removal, and only that makes a repeated start harmless. The removal was sent under the token of the start, so a request that had been carried out and answered still matched the worker's token and session, and a copy of it started the attempt again. The token was raised only after a request that was not acknowledged: a fence against a first execution, and none against a second one.

Fix: Reconciler, the only source of removals in requests and in heartbeat responses, raises the worker's token above that of every request with starts before it returns a removal. The worker takes the token over before it executes the commands, so the removal needs no further report, and every copy of an earlier start is rejected (409). A lost removal fences nothing and removes nothing; a late one is rejected once a higher token was seen. The tokens of a worker are a class of their own now, bounded by the range of the partition's lease: at its end nothing is removed and no loss is recorded until the partition has a new lease. A worker that is removed from the table and added again under the same lease continues above its former tokens.

--- a/src/rooksill/agent/command_sender.cc
+++ b/src/rooksill/agent/command_sender.cc
@@ -82,14 +82,14 @@
 }
 
 void CommandSender::send(Worker& worker, const std::vector<WorkerCommand>& commands) {
-  const model::FencingToken token = worker.tokens.current;
-  worker.tokens.in_flight = token;
+  const model::FencingToken token = worker.tokens.current();
+  const bool has_starts = std::any_of(commands.begin(), commands.end(), is_start);
+  worker.tokens.record_sent(has_starts);
   ++commands_in_flight_;
   context_.debug("agent", "machine {}: sending {} commands with fencing token {}", worker.name,
                  commands.size(), model::number(token));
   const uint64_t agent_epoch = std::max<uint64_t>(1, worker.version.agent_epoch);
-  const InFlightCommand command{worker.name, token,
-                                std::any_of(commands.begin(), commands.end(), is_start)};
+  const InFlightCommand command{worker.name, token, has_starts};
   context_.call(runtime::Target::kWorker, worker.address, "POST", "/commands",
                 wire::encode_commands(token, agent_epoch, commands),
                 context_.settings.platform.report_s * kCommandTimeoutHeartbeats,
@@ -101,8 +101,8 @@
   Worker* worker = workers_.find(command.machine);
   // If the worker was removed and added again meanwhile, it has no command in flight or another
   // one.
-  if (worker == nullptr || worker->tokens.in_flight != command.token) return;
-  worker->tokens.in_flight = model::kNoFencingToken;
+  if (worker == nullptr || !worker->tokens.is_in_flight(command.token)) return;
+  worker->tokens.record_completed();
   workers_.mark_changed(*worker);
   const bool is_acknowledged = done.status == kHttpOk || done.status == kHttpConflict;
   const auto heartbeat = wire::parse_heartbeat(done.body);
@@ -117,11 +117,12 @@
   const double heartbeat_interval_s = context_.settings.platform.report_s;
   if (status == kHttpConflict)
     worker.next_command_at = context_.now.steady + heartbeat_interval_s / kRefusedDelayDivisor;
-  if (heartbeat.fencing_token <= worker.tokens.current) return receiver_.accept(worker, heartbeat);
+  if (heartbeat.fencing_token <= worker.tokens.current())
+    return receiver_.accept(worker, heartbeat);
   // A newer partition owner has sent commands to this worker.
   context_.info(
       "agent", "machine {} has fencing token {}, which is above the token {} of this controller",
-      worker.name, model::number(heartbeat.fencing_token), model::number(worker.tokens.current));
+      worker.name, model::number(heartbeat.fencing_token), model::number(worker.tokens.current()));
   worker.next_command_at = context_.now.steady + heartbeat_interval_s;
 }
 
@@ -131,11 +132,9 @@
       context_.now.steady + context_.settings.platform.report_s / kUnansweredDelayDivisor;
   // A refused connection delivered no commands.
   if (!command.has_starts || is_connection_refused) return;
-  WorkerTokens& tokens = worker.tokens;
-  tokens.highest_unacknowledged = std::max(tokens.highest_unacknowledged, command.token);
-  tokens.current = std::max(tokens.current, model::next(command.token));
-  context_.debug("agent", "machine {}: command was not acknowledged, fencing token increased to {}",
-                 worker.name, model::number(tokens.current));
+  worker.tokens.record_unacknowledged(command.token);
+  context_.debug("agent", "machine {}: command was not acknowledged, fencing token is {} now",
+                 worker.name, model::number(worker.tokens.current()));
 }
 
 }  // namespace rooksill::agent
--- a/src/rooksill/agent/heartbeat_endpoint.cc
+++ b/src/rooksill/agent/heartbeat_endpoint.cc
@@ -53,10 +53,11 @@
                                             const wire::WorkerHeartbeat& heartbeat) {
   // A newer partition owner has sent commands to this worker. Status 200 would renew a lease that
   // this controller no longer has a right to.
-  if (heartbeat.fencing_token > worker.tokens.current) {
-    context_.info(
-        "agent", "machine {} has fencing token {}, which is above the token {} of this controller",
-        worker.name, model::number(heartbeat.fencing_token), model::number(worker.tokens.current));
+  if (heartbeat.fencing_token > worker.tokens.current()) {
+    context_.info("agent",
+                  "machine {} has fencing token {}, which is above the token {} of this controller",
+                  worker.name, model::number(heartbeat.fencing_token),
+                  model::number(worker.tokens.current()));
     return context_.reply(request, 421, "{}");
   }
   context_.count("reports");
@@ -65,7 +66,7 @@
   // Starts are sent as direct commands only: a delayed heartbeat response could start a task that
   // has been moved meanwhile.
   worker.was_sent_all_commands = remove_starts(commands) == 0;
-  context_.reply(request, 200, wire::encode_heartbeat_response(worker.tokens.current, commands));
+  context_.reply(request, 200, wire::encode_heartbeat_response(worker.tokens.current(), commands));
 }
 
 void HeartbeatEndpoint::accept_periodic_heartbeat(Worker& worker,
--- a/src/rooksill/agent/heartbeat_receiver.cc
+++ b/src/rooksill/agent/heartbeat_receiver.cc
@@ -31,7 +31,7 @@
         heartbeat.tasks.size());
   worker.has_reported = true;
   worker.version = version;
-  worker.tokens.last_reported = heartbeat.fencing_token;
+  worker.tokens.record_reported(heartbeat.fencing_token);
   failure_detector_.record_contact(worker);
   worker.tasks = heartbeat.tasks;
   record_termination_notice(worker, heartbeat);
--- a/src/rooksill/agent/reconciler.cc
+++ b/src/rooksill/agent/reconciler.cc
@@ -78,9 +78,10 @@
 
 // Handles a task that the store does not place on the worker in this attempt.
 Reconciler::OptionalCommand Reconciler::reconcile_unexpected(
-    const Worker& worker, const wire::ReportedTask& reported) const {
+    Worker& worker, const wire::ReportedTask& reported) const {
   if (reported.phase != wire::TaskPhase::kExited) return make_stop_command(reported, 0);
   if (!worker.tokens.are_earlier_commands_fenced()) return std::nullopt;
+  if (!worker.tokens.fence_starts()) return std::nullopt;
   return WorkerCommand{WorkerCommand::Op::kRemove, reported.task, reported.attempt, 0};
 }
 
--- a/src/rooksill/agent/reconciler.h
+++ b/src/rooksill/agent/reconciler.h
@@ -26,6 +26,8 @@
 //
 // A report that a task is absent or has exited is trusted only if the worker rejects all earlier
 // commands (WorkerTokens::are_earlier_commands_fenced): such a command might start the task again.
+// An attempt is removed only under a token above those of all requests with starts, because such a
+// request may be executed a second time (WorkerTokens::fence_starts).
 class Reconciler {
  public:
   // Returns whether the team uses more than its quota share in the worker's partition.
@@ -54,8 +56,7 @@
 
   // Whether the reported attempt is the one that the store places on this worker.
   bool is_placed_on(const Worker& worker, const wire::ReportedTask& reported) const;
-  OptionalCommand reconcile_unexpected(const Worker& worker,
-                                       const wire::ReportedTask& reported) const;
+  OptionalCommand reconcile_unexpected(Worker& worker, const wire::ReportedTask& reported) const;
   OptionalCommand reconcile_reported(Worker& worker, const wire::ReportedTask& reported);
   void reconcile_exited(Worker& worker, const wire::ReportedTask& reported);
   OptionalCommand reconcile_unreported(Worker& worker, const model::TaskRef& ref);
--- a/src/rooksill/agent/worker.h
+++ b/src/rooksill/agent/worker.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "rooksill/agent/image_cache.h"
-#include "rooksill/model/identifiers.h"
+#include "rooksill/agent/worker_tokens.h"
 #include "rooksill/model/job.h"
 #include "rooksill/placement/machine_capacity.h"
 #include "rooksill/runtime/context.h"
@@ -25,27 +25,6 @@
 // Heartbeat intervals without contact after which a worker is probed.
 inline constexpr double kProbeAfterHeartbeats = 1.15;
 
-// The fencing tokens used between this controller and one worker.
-struct WorkerTokens {
-  // Sent with every heartbeat response and command. Never decreases.
-  model::FencingToken current = model::kNoFencingToken;
-  // The highest token of a direct command that was never acknowledged. The worker may still execute
-  // such a command until it has seen a higher token.
-  model::FencingToken highest_unacknowledged = model::kNoFencingToken;
-  // The token of the direct command in flight; kNoFencingToken if there is none.
-  model::FencingToken in_flight = model::kNoFencingToken;
-  // The highest token that the worker had seen when it sent its latest accepted heartbeat.
-  model::FencingToken last_reported = model::kNoFencingToken;
-
-  // Returns whether a direct command is in flight.
-  bool has_command_in_flight() const { return in_flight != model::kNoFencingToken; }
-  // Returns whether no earlier command can take effect on the worker any more: it has seen a token
-  // above those of all unacknowledged and in-flight commands.
-  bool are_earlier_commands_fenced() const {
-    return last_reported > std::max(highest_unacknowledged, in_flight);
-  }
-};
-
 // Orders the heartbeats of a worker, so that a delayed duplicate is recognized by its lower
 // version.
 struct HeartbeatVersion {
--- a/src/rooksill/agent/worker_table.cc
+++ b/src/rooksill/agent/worker_table.cc
@@ -27,15 +27,28 @@
   Worker worker;
   worker.name = name;
   worker.partition = partition;
-  worker.tokens.current = model::first_worker_token(lease.fencing_token);
-  // A command of a previous owner may still be in flight.
-  worker.tokens.highest_unacknowledged = model::previous(worker.tokens.current);
+  const auto last_used = last_used_tokens_.find(name);
+  worker.tokens = WorkerTokens(
+      model::worker_tokens(lease.fencing_token),
+      last_used == last_used_tokens_.end() ? model::kNoFencingToken : last_used->second);
   worker.contact.last_contact_at = worker.contact.last_periodic_heartbeat_at = context_.now.steady;
   auto address = addresses_.find(name);
   if (address != addresses_.end()) worker.address = address->second;
   mark_changed(workers_.emplace(name, std::move(worker)).first->second);
 }
 
+void WorkerTable::remove(const std::string& name) {
+  const auto it = workers_.find(name);
+  if (it == workers_.end()) return;
+  last_used_tokens_[name] = it->second.tokens.current();
+  workers_.erase(it);
+}
+
+void WorkerTable::forget_machine(const std::string& machine) {
+  addresses_.erase(machine);
+  last_used_tokens_.erase(machine);
+}
+
 void WorkerTable::remove_partition(int partition, const Visitor& before_removal) {
   for (auto it = workers_.begin(); it != workers_.end();) {
     if (it->second.partition == partition) {
--- a/src/rooksill/agent/worker_table.h
+++ b/src/rooksill/agent/worker_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "rooksill/agent/worker.h"
+#include "rooksill/model/identifiers.h"
 #include "rooksill/runtime/context.h"
 #include "rooksill/store/replica.h"
 #include "rooksill/wire/controller_messages.h"
@@ -33,8 +34,9 @@
   // Adds the worker of a machine that the store lists in a partition owned by this controller, and
   // marks it as changed.
   void add(const std::string& name, int partition);
-  // Removes a worker, if it is in the table.
-  void remove(const std::string& name) { workers_.erase(name); }
+  // Removes a worker, if it is in the table. If it is added again, also in another partition, its
+  // fencing tokens continue above those used so far.
+  void remove(const std::string& name);
   // Removes all workers of a partition; calls `before_removal` for each of them first.
   void remove_partition(int partition, const Visitor& before_removal);
 
@@ -70,8 +72,8 @@
 
   // Records the address of a worker of any partition. An empty address is ignored.
   void record_address(const std::string& machine, const std::string& address);
-  // Removes the address of a machine, if it is known.
-  void remove_address(const std::string& machine) { addresses_.erase(machine); }
+  // Drops what is kept about a machine that is in no partition's list any more.
+  void forget_machine(const std::string& machine);
   // Returns the known addresses of workers in all partitions, by machine name.
   const std::unordered_map<std::string, std::string>& addresses() const { return addresses_; }
 
@@ -97,6 +99,8 @@
   std::vector<std::string> changed_names_;
   std::set<std::string> draining_;
   std::unordered_map<std::string, std::string> addresses_;  // by machine
+  // The highest tokens used for workers that were removed, by machine.
+  std::unordered_map<std::string, model::FencingToken> last_used_tokens_;
   std::vector<wire::MachineAddress> new_addresses_;
   size_t republish_turn_ = 0;  // counts the calls of collect_address_updates
 };
--- a/src/rooksill/model/coordination.h
+++ b/src/rooksill/model/coordination.h
@@ -23,9 +23,19 @@
 // of bits, plus the number of increments that the owner has made for the worker since.
 inline constexpr int kFencingTokenShiftBits = 20;
 
-// Returns the lowest fencing token that an owner with this lease sends to a worker.
-constexpr FencingToken first_worker_token(FencingToken lease_token) {
-  return static_cast<FencingToken>(number(lease_token) << kFencingTokenShiftBits);
+// Consecutive fencing tokens, both ends included.
+struct FencingTokenRange {
+  FencingToken first = kNoFencingToken;
+  FencingToken last = kNoFencingToken;
+};
+
+// Returns the fencing tokens that an owner with this lease may send to a worker. They are below
+// those of all later leases.
+constexpr FencingTokenRange worker_tokens(FencingToken lease_token) {
+  const auto first_of = [](FencingToken token) {
+    return static_cast<FencingToken>(number(token) << kFencingTokenShiftBits);
+  };
+  return {first_of(lease_token), previous(first_of(next(lease_token)))};
 }
 
 // An amount of CPUs and GPUs out of a team's quota.
--- a/src/rooksill/partition/partition_owner.cc
+++ b/src/rooksill/partition/partition_owner.cc
@@ -101,7 +101,7 @@
     if (machine != nullptr && owns(machine->partition))
       workers_.add(name, machine->partition);
     else if (machine == nullptr && worker == nullptr)
-      workers_.remove_address(name);
+      workers_.forget_machine(name);
   }
 }
 
