A partition gets a new lease before its fencing tokens are used up

Cause: a partition lease has 2^20 tokens for each worker, and nothing checked the range. Now that removals raise the token too, a machine with work every second would reach the first token of the next lease within two weeks, and the next owner's fence would fail in silence. Also, a machine that changes its partition may have seen a token that the new partition's lease cannot exceed; its new owner could not command it until the lease changed.

Change: the owner asks the leader for a new lease once a worker has used half of the lease's tokens, or reports a token above the owner's. The leader leases the partition to the same owner again, if the request names the present lease. The request is a message of a new kind, which older controllers ignore and which is sent only once the upgrade record exists; the stored lease is unchanged. A token above those of all leases asks for nothing, as no lease would exceed it. A worker's reported token that is not this owner's fences nothing.

--- a/src/rooksill/agent/command_sender.cc
+++ b/src/rooksill/agent/command_sender.cc
@@ -119,7 +119,9 @@
     worker.next_command_at = context_.now.steady + heartbeat_interval_s / kRefusedDelayDivisor;
   if (heartbeat.fencing_token <= worker.tokens.current())
     return receiver_.accept(worker, heartbeat);
-  // A newer partition owner has sent commands to this worker.
+  // A newer partition owner has sent commands to this worker, or the machine's former partition had
+  // a newer lease.
+  worker.tokens.record_reported(heartbeat.fencing_token);
   context_.info(
       "agent", "machine {} has fencing token {}, which is above the token {} of this controller",
       worker.name, model::number(heartbeat.fencing_token), model::number(worker.tokens.current()));
--- a/src/rooksill/agent/heartbeat_endpoint.cc
+++ b/src/rooksill/agent/heartbeat_endpoint.cc
@@ -51,9 +51,10 @@
 
 void HeartbeatEndpoint::reply_with_commands(uint64_t request, Worker& worker,
                                             const wire::WorkerHeartbeat& heartbeat) {
-  // A newer partition owner has sent commands to this worker. Status 200 would renew a lease that
-  // this controller no longer has a right to.
+  // A newer partition owner has sent commands to this worker, or the machine's former partition had
+  // a newer lease. Status 200 would renew a lease that this controller may have no right to.
   if (heartbeat.fencing_token > worker.tokens.current()) {
+    worker.tokens.record_reported(heartbeat.fencing_token);
     context_.info("agent",
                   "machine {} has fencing token {}, which is above the token {} of this controller",
                   worker.name, model::number(heartbeat.fencing_token),
--- a/src/rooksill/agent/worker_tokens.cc
+++ b/src/rooksill/agent/worker_tokens.cc
@@ -15,11 +15,12 @@
   highest_unacknowledged_ = highest_start_ = model::previous(current_);
 }
 
-bool WorkerTokens::needs_new_lease() const {
+bool WorkerTokens::needs_new_lease(model::FencingToken highest_issued) const {
   const uint64_t used = model::number(current_) - model::number(lease_range_.first);
   const uint64_t available =
       model::number(lease_range_.last) - model::number(lease_range_.first) + 1;
-  return used >= available / kRenewalDivisor || last_reported_ > current_;
+  const bool is_outranked = last_reported_ > current_ && last_reported_ <= highest_issued;
+  return used >= available / kRenewalDivisor || is_outranked;
 }
 
 void WorkerTokens::record_sent(bool has_starts) {
--- a/src/rooksill/agent/worker_tokens.h
+++ b/src/rooksill/agent/worker_tokens.h
@@ -38,8 +38,9 @@
            last_reported_ <= current_;
   }
   // Returns whether the partition needs a new lease: a good part of the tokens is used, or the
-  // worker has seen a token that this lease cannot exceed.
-  bool needs_new_lease() const;
+  // worker has seen a token that this lease cannot exceed. `highest_issued` is the highest token of
+  // all leases; a higher one is not from a lease, and no new lease would exceed it.
+  bool needs_new_lease(model::FencingToken highest_issued) const;
 
   // Records that a direct command was sent with the current token.
   void record_sent(bool has_starts);
--- a/src/rooksill/controller/controller.cc
+++ b/src/rooksill/controller/controller.cc
@@ -155,6 +155,20 @@
     peers_.send(leader, wire::PeerMessageKind::kUnassignedMachine, wire::pack(*machine));
 }
 
+// Asks the leader for new leases. Controllers of the version before upgrade records do not know the
+// request.
+void Controller::request_lease_renewals() {
+  if (!membership::Upgrade::is_complete(replica_)) return;
+  const std::string& leader = replica_.leader.label;
+  for (const wire::LeaseRenewalRequest& request : owner_.lease_renewal_requests()) {
+    context_.count("lease_renewal_requests");
+    if (leader_.is_leading())
+      leader_.renew_lease(leader, request);
+    else if (!leader.empty())
+      peers_.send(leader, wire::PeerMessageKind::kLeaseRenewal, wire::pack(request));
+  }
+}
+
 void Controller::run_timed_steps() {
   const double now = context_.now.steady;
   cancellations_.collect();
@@ -173,6 +187,7 @@
   if (heartbeat_timer_.fire(now, context_.settings.platform.report_s / kHeartbeatsPerReport)) {
     heartbeat_sender_.send_heartbeat();
     status_publisher_.publish();
+    request_lease_renewals();
   }
   if (leader_timer_.fire(now, kLeaderIntervalS)) run_leader_steps();
 }
@@ -286,6 +301,8 @@
       return unpack_and_handle<wire::RoutingUpdate>(*envelope);
     case wire::PeerMessageKind::kUnassignedMachine:
       return unpack_and_handle<wire::UnassignedMachine>(*envelope);
+    case wire::PeerMessageKind::kLeaseRenewal:
+      return unpack_and_handle<wire::LeaseRenewalRequest>(*envelope);
   }
 }
 
@@ -336,4 +353,9 @@
   fleet_.on_unassigned_machine(machine);
 }
 
+void Controller::handle_message(const std::string& sender,
+                                const wire::LeaseRenewalRequest& request) {
+  leader_.renew_lease(sender, request);
+}
+
 }  // namespace rooksill::controller
--- a/src/rooksill/controller/controller.h
+++ b/src/rooksill/controller/controller.h
@@ -75,9 +75,11 @@
   void handle_message(const std::string& sender, const wire::CancelledJobs& cancelled);
   void handle_message(const std::string& sender, const wire::RoutingUpdate& routing);
   void handle_message(const std::string& sender, const wire::UnassignedMachine& machine);
+  void handle_message(const std::string& sender, const wire::LeaseRenewalRequest& request);
 
   // Steps of a batch that follow command handling.
   void forward_unassigned_machine();
+  void request_lease_renewals();
   void run_timed_steps();
   void run_leader_steps();
   void route_accepted_jobs();
--- a/src/rooksill/leader/leader.cc
+++ b/src/rooksill/leader/leader.cc
@@ -38,6 +38,10 @@
   router_.retry_pending_jobs();
 }
 
+void Leader::renew_lease(const std::string& sender, const wire::LeaseRenewalRequest& request) {
+  if (is_leading()) assigner_.renew_lease(sender, request);
+}
+
 void Leader::route_changed_jobs() {
   if (is_leading()) router_.route_changed_jobs();
 }
--- a/src/rooksill/leader/leader.h
+++ b/src/rooksill/leader/leader.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 #include "rooksill/fleet/fleet.h"
 #include "rooksill/leader/election.h"
@@ -37,6 +38,10 @@
   // Routes the jobs affected by the last batch of store changes without waiting for the next tick.
   void route_changed_jobs();
 
+  // Leases a partition to its present owner again, if `sender` is the owner under the lease that
+  // the request names. Ignored unless this process leads.
+  void renew_lease(const std::string& sender, const wire::LeaseRenewalRequest& request);
+
   // Returns whether this process leads.
   bool is_leading() const { return election_.is_leading(); }
   // Returns whether there is no reachable leader. Partition owners then place work without one.
--- a/src/rooksill/leader/partition_assigner.cc
+++ b/src/rooksill/leader/partition_assigner.cc
@@ -6,7 +6,6 @@
 #include "rooksill/model/coordination.h"
 #include "rooksill/model/identifiers.h"
 #include "rooksill/store/client.h"
-#include "rooksill/wire/controller_messages.h"
 #include "rooksill/wire/store_codec.h"
 #include "rooksill/wire/store_keys.h"
 
@@ -62,6 +61,17 @@
   rebalance(candidates);
 }
 
+void PartitionAssigner::renew_lease(const std::string& sender,
+                                    const wire::LeaseRenewalRequest& request) {
+  const auto partition = static_cast<size_t>(request.partition);
+  if (request.partition < 0 || partition >= replica_.leases.size()) return;
+  const model::PartitionLease& current = replica_.leases[partition];
+  if (current.owner != sender || current.fencing_token != request.fencing_token ||
+      current.incarnation != incarnation_of(sender))
+    return;
+  write_lease(request.partition, sender, "its fencing tokens no longer suffice");
+}
+
 // ---- Eligible owners
 
 // Returns the eligible controllers or, if there are none, all live ones.
--- a/src/rooksill/leader/partition_assigner.h
+++ b/src/rooksill/leader/partition_assigner.h
@@ -14,6 +14,7 @@
 #include "rooksill/runtime/context.h"
 #include "rooksill/store/committer.h"
 #include "rooksill/store/replica.h"
+#include "rooksill/wire/controller_messages.h"
 
 namespace rooksill::leader {
 
@@ -33,6 +34,9 @@
   // Replaces ineligible owners, then moves at most one partition to even out the numbers per
   // controller. Moves none while leases are in flight.
   void assign();
+  // Leases the partition to its present owner again, which gives it new fencing tokens. Ignored if
+  // `sender` does not own the partition under the lease that the request names.
+  void renew_lease(const std::string& sender, const wire::LeaseRenewalRequest& request);
 
   // Returns the partitions whose owner's reports of unreachable machines are not trusted: the owner
   // is probably isolated from the network, because nearly all of its machines became unreachable at
--- a/src/rooksill/partition/partition_owner.cc
+++ b/src/rooksill/partition/partition_owner.cc
@@ -81,6 +81,21 @@
   }
 }
 
+std::vector<wire::LeaseRenewalRequest> PartitionOwner::lease_renewal_requests() const {
+  model::FencingToken newest_lease = model::kNoFencingToken;
+  for (const model::PartitionLease& lease : replica_.leases)
+    newest_lease = std::max(newest_lease, lease.fencing_token);
+  const model::FencingToken highest_issued = model::worker_tokens(newest_lease).last;
+  std::set<int> partitions;
+  for (const auto& [name, worker] : workers_)
+    if (owns(worker.partition) && worker.tokens.needs_new_lease(highest_issued))
+      partitions.insert(worker.partition);
+  std::vector<wire::LeaseRenewalRequest> requests;
+  for (const int partition : partitions)
+    requests.push_back({partition, replica_.leases[static_cast<size_t>(partition)].fencing_token});
+  return requests;
+}
+
 // A batch of store changes affects only the machines in `changed_machines`.
 void PartitionOwner::apply_store_changes() {
   for (const auto& name : replica_.changes.changed_machines) {
--- a/src/rooksill/partition/partition_owner.h
+++ b/src/rooksill/partition/partition_owner.h
@@ -105,6 +105,9 @@
   std::vector<wire::QuotaUse> quota_usage() const;
   // Returns the number of shards with changes that are still to be sent to the store.
   size_t pending_shard_writes() const { return changes_.pending_shard_count(); }
+  // Returns a request for each owned partition that needs a new lease, because the fencing tokens
+  // of its present one no longer suffice for all of its workers.
+  std::vector<wire::LeaseRenewalRequest> lease_renewal_requests() const;
   // Returns a one-line summary of the owned machines for the log.
   std::string machine_summary();
   // Returns whether this controller owns the partition under its current lease.
--- a/src/rooksill/wire/controller_messages.h
+++ b/src/rooksill/wire/controller_messages.h
@@ -17,6 +17,7 @@
 #include "rooksill/wire/decoded.h"
 
 MSGPACK_ADD_ENUM(rooksill::model::Revision)
+MSGPACK_ADD_ENUM(rooksill::model::FencingToken)
 
 namespace rooksill::wire {
 
@@ -27,7 +28,8 @@
   kRouting = 3,            // RoutingUpdate
   kUnassignedMachine = 4,  // UnassignedMachine
   kMachineStatus = 5,      // MachineStatusUpdate
-  kCancelledJobs = 6       // CancelledJobs
+  kCancelledJobs = 6,      // CancelledJobs
+  kLeaseRenewal = 7        // LeaseRenewalRequest
 };
 
 // The state of a machine as seen by the owner of its partition.
@@ -181,6 +183,15 @@
   MSGPACK_DEFINE_ARRAY(machine, address, type, zone, spot)
 };
 
+// Sent to the leader by a partition owner that needs a new lease for its partition, because a
+// worker has used or seen too many of the lease's fencing tokens. Without a response; repeated
+// until the lease has changed.
+struct LeaseRenewalRequest {
+  int partition = 0;
+  model::FencingToken fencing_token = model::kNoFencingToken;  // of the lease to be replaced
+  MSGPACK_DEFINE_ARRAY(partition, fencing_token)
+};
+
 // The frame of every message between controllers. Version 1 is the format that controllers without
 // upgrade records send and accept.
 struct Envelope {
--- a/tests/runner/kinds.h
+++ b/tests/runner/kinds.h
@@ -28,6 +28,8 @@
 void run_replica(const std::vector<Line>& lines);
 // Writes changes of the machine lists as the leader, with given responses of the store.
 void run_machine_lists(const std::vector<Line>& lines);
+// Runs the fencing tokens of one worker through requests, responses and removals.
+void run_worker_tokens(const std::vector<Line>& lines);
 // Parses the platform settings with single fields changed, and checks that they are accepted or
 // rejected with an error that names the field.
 void run_settings(const std::vector<Line>& lines);
--- a/tests/runner/main.cc
+++ b/tests/runner/main.cc
@@ -45,6 +45,7 @@
       {"replica", runner::run_replica},
       {"settings", runner::run_settings},
       {"sizing", runner::run_sizing},
+      {"worker_tokens", runner::run_worker_tokens},
   };
   return kKinds;
 }
--- a/tests/runner/recorded.cc
+++ b/tests/runner/recorded.cc
@@ -49,6 +49,9 @@
     case rooksill::wire::PeerMessageKind::kCancelledJobs:
       envelope.payload = repack<rooksill::wire::CancelledJobs>(envelope.payload);
       break;
+    case rooksill::wire::PeerMessageKind::kLeaseRenewal:
+      envelope.payload = repack<rooksill::wire::LeaseRenewalRequest>(envelope.payload);
+      break;
   }
   return rooksill::wire::pack(envelope);
 }
--- a/tests/runner/world_actions.cc
+++ b/tests/runner/world_actions.cc
@@ -236,6 +236,11 @@
   world.faults().make_machines_faulty(count(line));
 }
 
+void raise_worker_tokens(World& world, const Line& line) {
+  world.faults().raise_worker_tokens(count(line),
+                                     static_cast<uint64_t>(line.get_integer("left", 0)));
+}
+
 // ---- table of actions ----------------------------------------------------------------------
 
 void expect(World& world, const Line& line) { run_expectation(world, line.without_words(1)); }
@@ -284,6 +289,7 @@
                     {"reclaim_spot", {"share", "notice"}, reclaim_spot},
                     {"hang_machines", {"count", "for"}, hang_machines},
                     {"break_machines", {"count"}, break_machines},
+                    {"raise_worker_tokens", {"count", "left"}, raise_worker_tokens},
                     {"expect", {}, expect},
                 });
   return kActions;
--- a/tests/standins/fault_injector.cc
+++ b/tests/standins/fault_injector.cc
@@ -214,6 +214,13 @@
   });
 }
 
+void FaultInjector::raise_worker_tokens(int count, uint64_t left) {
+  apply_to_machines(count, [left](Worker& worker) {
+    worker.raise_token(left);
+    return true;
+  });
+}
+
 void FaultInjector::make_machines_faulty(int count) {
   apply_to_machines(count, [](Worker& worker) { return !std::exchange(worker.is_faulty, true); });
 }
--- a/tests/standins/fault_injector.h
+++ b/tests/standins/fault_injector.h
@@ -105,6 +105,9 @@
   void reclaim_spot(double share, double notice_s);
   // Suspends machines; they execute and send nothing.
   void hang_machines(int count, double duration_s);
+  // Raises the highest fencing token that the workers have seen to `left` below the last one of the
+  // lease that it is from.
+  void raise_worker_tokens(int count, uint64_t left);
   // Makes every task on the machines fail, permanently.
   void make_machines_faulty(int count);
 
--- a/tests/standins/worker.cc
+++ b/tests/standins/worker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "rooksill/model/coordination.h"
+
 namespace standins {
 
 using nlohmann::json;
@@ -304,6 +306,13 @@
   last_token_change_ = now_;
 }
 
+void Worker::raise_token(uint64_t left) {
+  constexpr uint64_t kTokensOfLease = uint64_t{1} << rooksill::model::kFencingTokenShiftBits;
+  if (fencing_token_ == 0) return;
+  const uint64_t last = (fencing_token_ / kTokensOfLease + 1) * kTokensOfLease - 1;
+  observe_fencing_token(last - left);
+}
+
 // ---- commands ------------------------------------------------------------------------------
 
 HttpResponse Worker::handle_request(double now, const HttpRequest& request) {
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -72,6 +72,10 @@
   // Returns the response to a controller's commands or inspection.
   HttpResponse handle_request(double now, const HttpRequest& request);
 
+  // Raises the highest token seen as if the owner had used all but `left` tokens of its lease.
+  // Before the first token, there is no effect.
+  void raise_token(uint64_t left);
+
   // Return the capacity that is not used by tasks.
   double free_cpus() const;
   double free_memory_gb() const;
