A one-zone job's zone is that of its tasks in the store, not of writes that failed

Cause: two owners placed the same job while there was no leader. The first transaction put six tasks into one zone. The second owner had sent placements in the other zone; while they had no answer, its replica received the first owner's shard. It counted the tasks in the store and then its own unwritten placements, and the last one counted set the zone. A seventh task was so decided for the zone of the placements that were bound to fail, on the store's present revision; they were dropped with the conflict, and the seventh was written and started. A decision on an own write that could not be applied any more.

Fix: the tasks in the store are counted first, for all shards, and determine the zone; unwritten placements determine it only if the store has none. Spread jobs count both, which only allows less.

--- a/src/rooksill/partition/placement_pass.cc
+++ b/src/rooksill/partition/placement_pass.cc
@@ -117,19 +117,23 @@
 }
 
 // Returns how many more of the job's tasks each zone may have; nullopt if the zone of a placed task
-// is unknown.
+// is unknown. The tasks in the store come first, because they determine the zone of a one-zone job:
+// unwritten placements in another zone were decided before another owner's, and cannot be applied
+// any more.
 std::optional<ZoneLimits> PlacementPass::zone_limits(const model::Job& job) const {
   ZoneLimits zones(job.spec);
   if (!has_zone_constraint(job.spec)) return zones;
   for (uint32_t shard = 0; shard < job.shards.size(); ++shard)
-    if (!count_tasks_by_zone(job, shard, zones)) return std::nullopt;
+    if (!count_placed_tasks(job, shard, zones)) return std::nullopt;
+  for (uint32_t shard = 0; shard < job.shards.size(); ++shard)
+    count_unwritten_placements(job, shard, zones);
   return zones;
 }
 
-// Counts the shard's tasks in the zones of their current machines and of placements that are not
-// yet written. Returns false if the zone of one of them is unknown.
-bool PlacementPass::count_tasks_by_zone(const model::Job& job, uint32_t shard,
-                                        ZoneLimits& zones) const {
+// Counts the shard's tasks in the zones of the machines that the store places them on. Returns
+// false if the zone of one of them is unknown.
+bool PlacementPass::count_placed_tasks(const model::Job& job, uint32_t shard,
+                                       ZoneLimits& zones) const {
   const changes::ShardChanges* shard_changes =
       environment_.changes.find_shard({job.spec.id, shard});
   // A task that has exited is no longer on its machine, even if that is not yet written.
@@ -149,12 +153,18 @@
       return false;
     count_task_on(tasks[i].machine, job.spec, zones);
   }
-  if (shard_changes == nullptr) return true;
+  return true;
+}
+
+void PlacementPass::count_unwritten_placements(const model::Job& job, uint32_t shard,
+                                               ZoneLimits& zones) const {
+  const changes::ShardChanges* shard_changes =
+      environment_.changes.find_shard({job.spec.id, shard});
+  if (shard_changes == nullptr) return;
   for (const auto* changes : {&shard_changes->pending(), &shard_changes->sent()})
     for (const auto& [i, change] : *changes)
       if (change.kind == TaskChange::Kind::kPlaced)
         count_task_on(change.machine.name, job.spec, zones);
-  return true;
 }
 
 void PlacementPass::count_task_on(const std::string& machine, const model::JobSpec& spec,
@@ -162,7 +172,7 @@
   const model::Machine* record = environment_.replica.machine(machine);
   if (record == nullptr) return;
   zones.add(record->zone);
-  if (spec.one_zone) zones.restrict_to(record->zone);
+  if (spec.one_zone && !zones.is_restricted()) zones.restrict_to(record->zone);
 }
 
 // Returns how many more of the job's tasks fit on the machine and in the team's quota share.
--- a/src/rooksill/partition/placement_pass.h
+++ b/src/rooksill/partition/placement_pass.h
@@ -75,8 +75,10 @@
 
   std::vector<uint32_t> tasks_to_place(const placement::PendingShard& pending) const;
   std::optional<placement::ZoneLimits> zone_limits(const model::Job& job) const;
-  bool count_tasks_by_zone(const model::Job& job, uint32_t shard,
-                           placement::ZoneLimits& zones) const;
+  bool count_placed_tasks(const model::Job& job, uint32_t shard,
+                          placement::ZoneLimits& zones) const;
+  void count_unwritten_placements(const model::Job& job, uint32_t shard,
+                                  placement::ZoneLimits& zones) const;
   void count_task_on(const std::string& machine, const model::JobSpec& spec,
                      placement::ZoneLimits& zones) const;
   uint32_t free_slots(const model::JobSpec& spec, size_t machine);
