Log what each command to a worker was decided on, and unexpected running attempts

In the incident of a task on two machines the controllers' logs did not show which start was sent, under which token and revision, nor that a machine ran an attempt that nobody had sent.

At debug, one line a command (start, stop, remove; direct or in a heartbeat response) names task, attempt, machine, agent epoch, token, the revisions of shard and lease, and the age of what is known of the store. At info, which is rare: a running attempt that the store does not know, with what the store has; when heartbeats cease to be answered and are again; with an acquired partition the lease's and the replica's revision. Counters of commands by kind, of rejected and unacknowledged ones, of unexpected attempts.

--- a/src/rooksill/agent/command_sender.cc
+++ b/src/rooksill/agent/command_sender.cc
@@ -39,7 +39,8 @@
       workers_(dependencies.workers),
       receiver_(dependencies.receiver),
       reconciler_(dependencies.reconciler),
-      renewal_permit_(dependencies.renewal_permit) {}
+      renewal_permit_(dependencies.renewal_permit),
+      command_log_(dependencies.command_log) {}
 
 void CommandSender::send_urgent() {
   for (const auto& name : workers_.extract_changed_names())
@@ -88,6 +89,7 @@
   ++commands_in_flight_;
   context_.debug("agent", "machine {}: sending {} commands with fencing token {}", worker.name,
                  commands.size(), model::number(token));
+  command_log_.record(worker, commands);
   const uint64_t agent_epoch = std::max<uint64_t>(1, worker.version.agent_epoch);
   const InFlightCommand command{worker.name, token, has_starts};
   context_.call(runtime::Target::kWorker, worker.address, "POST", "/commands",
@@ -115,8 +117,10 @@
 void CommandSender::on_acknowledged(Worker& worker, int status,
                                     const wire::WorkerHeartbeat& heartbeat) {
   const double heartbeat_interval_s = context_.settings.platform.report_s;
-  if (status == kHttpConflict)
+  if (status == kHttpConflict) {
+    context_.count("rejected_commands");
     worker.next_command_at = context_.now.steady + heartbeat_interval_s / kRefusedDelayDivisor;
+  }
   if (heartbeat.fencing_token <= worker.tokens.current())
     return receiver_.accept(worker, heartbeat);
   // A newer partition owner has sent commands to this worker, or the machine's former partition had
@@ -134,6 +138,7 @@
       context_.now.steady + context_.settings.platform.report_s / kUnansweredDelayDivisor;
   // A refused connection delivered no commands.
   if (!command.has_starts || is_connection_refused) return;
+  context_.count("unacknowledged_starts");
   worker.tokens.record_unacknowledged(command.token);
   context_.debug("agent", "machine {}: command was not acknowledged, fencing token is {} now",
                  worker.name, model::number(worker.tokens.current()));
--- a/src/rooksill/agent/command_sender.h
+++ b/src/rooksill/agent/command_sender.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "rooksill/agent/command_log.h"
 #include "rooksill/agent/heartbeat_receiver.h"
 #include "rooksill/agent/reconciler.h"
 #include "rooksill/agent/renewal_permit.h"
@@ -31,6 +32,7 @@
     HeartbeatReceiver& receiver;
     Reconciler& reconciler;
     const RenewalPermit& renewal_permit;
+    CommandLog& command_log;
   };
 
   explicit CommandSender(const Dependencies& dependencies);
@@ -62,6 +64,7 @@
   HeartbeatReceiver& receiver_;
   Reconciler& reconciler_;
   const RenewalPermit& renewal_permit_;
+  CommandLog& command_log_;
   int commands_in_flight_ = 0;
 };
 
--- a/src/rooksill/agent/heartbeat_endpoint.cc
+++ b/src/rooksill/agent/heartbeat_endpoint.cc
@@ -12,7 +12,8 @@
       workers_(dependencies.workers),
       receiver_(dependencies.receiver),
       reconciler_(dependencies.reconciler),
-      renewal_permit_(dependencies.renewal_permit) {}
+      renewal_permit_(dependencies.renewal_permit),
+      command_log_(dependencies.command_log) {}
 
 std::optional<wire::UnassignedMachine> HeartbeatEndpoint::extract_unassigned_machine() {
   return std::exchange(unassigned_machine_, {});
@@ -67,6 +68,7 @@
   // Starts are sent as direct commands only: a delayed heartbeat response could start a task that
   // has been moved meanwhile.
   worker.was_sent_all_commands = remove_starts(commands) == 0;
+  command_log_.record(worker, commands);
   context_.reply(request, 200, wire::encode_heartbeat_response(worker.tokens.current(), commands));
 }
 
--- a/src/rooksill/agent/heartbeat_endpoint.h
+++ b/src/rooksill/agent/heartbeat_endpoint.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "rooksill/agent/command_log.h"
 #include "rooksill/agent/heartbeat_receiver.h"
 #include "rooksill/agent/reconciler.h"
 #include "rooksill/agent/renewal_permit.h"
@@ -34,6 +35,7 @@
     HeartbeatReceiver& receiver;
     Reconciler& reconciler;
     const RenewalPermit& renewal_permit;
+    CommandLog& command_log;
   };
 
   explicit HeartbeatEndpoint(const Dependencies& dependencies);
@@ -62,6 +64,7 @@
   HeartbeatReceiver& receiver_;
   Reconciler& reconciler_;
   const RenewalPermit& renewal_permit_;
+  CommandLog& command_log_;
   std::optional<wire::UnassignedMachine> unassigned_machine_;
 };
 
--- a/src/rooksill/agent/reconciler.cc
+++ b/src/rooksill/agent/reconciler.cc
@@ -79,12 +79,34 @@
 // Handles a task that the store does not place on the worker in this attempt.
 Reconciler::OptionalCommand Reconciler::reconcile_unexpected(
     Worker& worker, const wire::ReportedTask& reported) const {
-  if (reported.phase != wire::TaskPhase::kExited) return make_stop_command(reported, 0);
+  if (reported.phase != wire::TaskPhase::kExited) {
+    log_unexpected(worker, reported);
+    return make_stop_command(reported, 0);
+  }
   if (!worker.tokens.are_earlier_commands_fenced()) return std::nullopt;
-  if (!worker.tokens.fence_starts()) return std::nullopt;
+  if (!worker.tokens.fence_starts()) {
+    context_.count("removals_without_fence");
+    return std::nullopt;
+  }
   return WorkerCommand{WorkerCommand::Op::kRemove, reported.task, reported.attempt, 0};
 }
 
+// A running attempt that the store does not know is a sign of a start that was executed although it
+// had no effect any more. Jobs that are over have no tasks in the store.
+void Reconciler::log_unexpected(const Worker& worker, const wire::ReportedTask& reported) const {
+  const model::Job* job = replica_.job(reported.task.job);
+  const model::TaskState* task = replica_.task(reported.task);
+  if (job == nullptr || job->over() || task == nullptr) return;
+  context_.count("unexpected_attempts");
+  context_.info("agent",
+                "machine {} runs task {} attempt {}, stopping it: in the store attempt {} is {}{}",
+                worker.name, wire::task_name(reported.task), reported.attempt, task->attempt,
+                task->done              ? "done"
+                : task->machine.empty() ? "on no machine"
+                                        : "on ",
+                task->machine);
+}
+
 // Handles a reported task that the store places on the worker.
 Reconciler::OptionalCommand Reconciler::reconcile_reported(Worker& worker,
                                                            const wire::ReportedTask& reported) {
--- a/src/rooksill/agent/reconciler.h
+++ b/src/rooksill/agent/reconciler.h
@@ -57,6 +57,7 @@
   // Whether the reported attempt is the one that the store places on this worker.
   bool is_placed_on(const Worker& worker, const wire::ReportedTask& reported) const;
   OptionalCommand reconcile_unexpected(Worker& worker, const wire::ReportedTask& reported) const;
+  void log_unexpected(const Worker& worker, const wire::ReportedTask& reported) const;
   OptionalCommand reconcile_reported(Worker& worker, const wire::ReportedTask& reported);
   void reconcile_exited(Worker& worker, const wire::ReportedTask& reported);
   OptionalCommand reconcile_unreported(Worker& worker, const model::TaskRef& ref);
--- a/src/rooksill/agent/renewal_permit.h
+++ b/src/rooksill/agent/renewal_permit.h
@@ -15,15 +15,21 @@
 class RenewalPermit {
  public:
   // Both arguments must outlive the permit.
-  RenewalPermit(const runtime::Context& context, const membership::Cancellations& cancellations)
+  RenewalPermit(runtime::Context& context, const membership::Cancellations& cancellations)
       : context_(context), cancellations_(cancellations) {}
 
   // Returns whether leases may be renewed now.
   bool is_granted() const;
+  // Logs that the permit was granted or withdrawn since the last call.
+  void log_change();
 
  private:
-  const runtime::Context& context_;
+  // Returns the age of this controller's knowledge of all cancellations.
+  double staleness_s() const;
+
+  runtime::Context& context_;
   const membership::Cancellations& cancellations_;
+  bool was_granted_ = false;  // at the last call of log_change()
 };
 
 }  // namespace rooksill::agent
--- a/src/rooksill/partition/partition_owner.cc
+++ b/src/rooksill/partition/partition_owner.cc
@@ -37,10 +37,11 @@
           [this](const std::string& team, agent::Worker& worker) {
             return exceeds_quota(team, worker);
           }),
+      command_log_(context, replica),
       heartbeat_endpoint_({context, replica, owned_partitions_, workers_, heartbeat_receiver_,
-                           reconciler_, renewal_permit_}),
-      command_sender_(
-          {context, replica, workers_, heartbeat_receiver_, reconciler_, renewal_permit_}),
+                           reconciler_, renewal_permit_, command_log_}),
+      command_sender_({context, replica, workers_, heartbeat_receiver_, reconciler_,
+                       renewal_permit_, command_log_}),
       routed_shards_(context, replica, owned_partitions_),
       quota_transfers_(context, replica, committer),
       quota_usage_(context.settings, replica, quota_transfers_),
@@ -51,8 +52,11 @@
 void PartitionOwner::acquire_partition(int partition) {
   const model::PartitionLease& lease = replica_.leases[static_cast<size_t>(partition)];
   owned_partitions_.acquire(partition);
-  context_.info("partition", "acquired partition {}, fencing token {}", partition,
-                model::number(lease.fencing_token));
+  context_.info(
+      "partition",
+      "acquired partition {}, fencing token {}, lease revision {}, replica at revision {}",
+      partition, model::number(lease.fencing_token), model::number(lease.revision),
+      model::number(replica_.synced_revision));
   remove_workers(partition);
   for (const auto& page : replica_.directory().pages()[static_cast<size_t>(partition)])
     for (const auto& [name, machine] : page.machines)
@@ -121,6 +125,7 @@
 }
 
 void PartitionOwner::check_timeouts() {
+  renewal_permit_.log_change();
   failure_detector_.check();
   evicted_tasks_.remove_if([&](const model::TaskRef& ref, uint64_t attempt) {
     const model::TaskState* task = replica_.task(ref);
--- a/src/rooksill/partition/partition_owner.h
+++ b/src/rooksill/partition/partition_owner.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "rooksill/agent/command_log.h"
 #include "rooksill/agent/command_sender.h"
 #include "rooksill/agent/failure_detector.h"
 #include "rooksill/agent/heartbeat_endpoint.h"
@@ -160,6 +161,7 @@
   agent::RenewalPermit renewal_permit_;
   agent::HeartbeatReceiver heartbeat_receiver_;
   agent::Reconciler reconciler_;
+  agent::CommandLog command_log_;
   agent::HeartbeatEndpoint heartbeat_endpoint_;
   agent::CommandSender command_sender_;
   RoutedShards routed_shards_;
--- a/src/rooksill/runtime/context.h
+++ b/src/rooksill/runtime/context.h
@@ -62,6 +62,8 @@
   }
   // Enables or disables debug messages.
   void enable_debug_log(bool enabled) { debug_log_ = enabled; }
+  // Returns whether debug messages are logged.
+  bool is_debug_log_enabled() const { return debug_log_; }
 
   // Adds to the counter of this name. All counters are logged periodically.
   void count(const char* counter, double amount = 1) { counters_.add(counter, amount); }
