--- a/tests/runner/world_actions.cc
+++ b/tests/runner/world_actions.cc
@@ -236,6 +236,8 @@
   world.faults().make_machines_faulty(count(line));
 }
 
+void restart_agents(World& world, const Line& line) { world.faults().restart_agents(count(line)); }
+
 void raise_worker_tokens(World& world, const Line& line) {
   world.faults().raise_worker_tokens(count(line),
                                      static_cast<uint64_t>(line.get_integer("left", 0)));
@@ -289,6 +291,7 @@
                     {"reclaim_spot", {"share", "notice"}, reclaim_spot},
                     {"hang_machines", {"count", "for"}, hang_machines},
                     {"break_machines", {"count"}, break_machines},
+                    {"restart_agents", {"count"}, restart_agents},
                     {"raise_worker_tokens", {"count", "left"}, raise_worker_tokens},
                     {"expect", {}, expect},
                 });
--- a/tests/standins/fault_injector.cc
+++ b/tests/standins/fault_injector.cc
@@ -214,6 +214,13 @@
   });
 }
 
+void FaultInjector::restart_agents(int count) {
+  apply_to_machines(count, [this](Worker& worker) {
+    worker.restart(simulation_.now());
+    return true;
+  });
+}
+
 void FaultInjector::raise_worker_tokens(int count, uint64_t left) {
   apply_to_machines(count, [left](Worker& worker) {
     worker.raise_token(left);
--- a/tests/standins/fault_injector.h
+++ b/tests/standins/fault_injector.h
@@ -105,6 +105,8 @@
   void reclaim_spot(double share, double notice_s);
   // Suspends machines; they execute and send nothing.
   void hang_machines(int count, double duration_s);
+  // Restarts the agents of machines; see Worker::restart().
+  void restart_agents(int count);
   // Raises the highest fencing token that the workers have seen to `left` below the last one of the
   // lease that it is from.
   void raise_worker_tokens(int count, uint64_t left);
--- a/tests/standins/worker.cc
+++ b/tests/standins/worker.cc
@@ -202,6 +202,16 @@
   end_all_tasks();
 }
 
+void Worker::restart(double now) {
+  end_all_tasks();
+  images_.clear();
+  agent_epoch = 1;
+  report_sequence_ = 0;
+  fencing_token_ = 0;
+  lease_renewed_at_ = now;
+  has_unreported_changes_ = true;
+}
+
 void Worker::expire_lease(double now) {
   end_all_tasks();
   ++agent_epoch;
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -57,6 +57,9 @@
 
   // Advances all tasks to `now` and checks the lease. Call before the other methods.
   void advance(double now);
+  // Restarts the agent of a machine that was away for less than a second: its tasks and images are
+  // gone, and agent epoch, sequence and fencing token begin anew.
+  void restart(double now);
   // Ends the worker and all its tasks because the machine has been terminated.
   void terminate();
 
