What is kept of a released machine is dropped; one worker's update is a function of its own

An owner kept the address of each machine that left its lists, and since the change of the fencing tokens its last token too: about 100 bytes a machine for as long as the process ran. Both are dropped once the lists show for certain that the machine is gone. PartitionOwner::apply_store_changes() calls update_worker(), which returns early instead of nesting. The text of the line about an unexpected attempt is a function.

--- a/src/rooksill/agent/reconciler.cc
+++ b/src/rooksill/agent/reconciler.cc
@@ -21,6 +21,11 @@
   return {WorkerCommand::Op::kStop, task.task, task.attempt, grace_s};
 }
 
+std::string describe_place(const model::TaskState& task) {
+  if (task.done) return "done";
+  return task.machine.empty() ? "on no machine" : "on " + task.machine;
+}
+
 // Returns whether an exit is no sign of a machine fault: the task was stopped by a command, or
 // ended because its gang was incomplete.
 bool is_intentional_exit(wire::ExitCause cause) {
@@ -99,12 +104,9 @@
   if (job == nullptr || job->over() || task == nullptr) return;
   context_.count("unexpected_attempts");
   context_.info("agent",
-                "machine {} runs task {} attempt {}, stopping it: in the store attempt {} is {}{}",
+                "machine {} runs task {} attempt {}, stopping it: in the store attempt {} is {}",
                 worker.name, wire::task_name(reported.task), reported.attempt, task->attempt,
-                task->done              ? "done"
-                : task->machine.empty() ? "on no machine"
-                                        : "on ",
-                task->machine);
+                describe_place(*task));
 }
 
 // Handles a reported task that the store places on the worker.
--- a/src/rooksill/agent/worker_table.cc
+++ b/src/rooksill/agent/worker_table.cc
@@ -44,9 +44,13 @@
   workers_.erase(it);
 }
 
-void WorkerTable::forget_machine(const std::string& machine) {
-  addresses_.erase(machine);
-  last_used_tokens_.erase(machine);
+void WorkerTable::forget_released_machines() {
+  if (!replica_.has_consistent_lists()) return;
+  std::erase_if(last_used_tokens_, [this](const auto& entry) {
+    if (!replica_.is_machine_unlisted(entry.first)) return false;
+    addresses_.erase(entry.first);
+    return true;
+  });
 }
 
 void WorkerTable::remove_partition(int partition, const Visitor& before_removal) {
--- a/src/rooksill/agent/worker_table.h
+++ b/src/rooksill/agent/worker_table.h
@@ -72,8 +72,11 @@
 
   // Records the address of a worker of any partition. An empty address is ignored.
   void record_address(const std::string& machine, const std::string& address);
-  // Drops what is kept about a machine that is in no partition's list any more.
-  void forget_machine(const std::string& machine);
+  // Removes the address of a machine, if it is known.
+  void remove_address(const std::string& machine) { addresses_.erase(machine); }
+  // Drops what is kept about machines whose workers were removed, if they are certain to be in no
+  // partition's list any more.
+  void forget_released_machines();
   // Returns the known addresses of workers in all partitions, by machine name.
   const std::unordered_map<std::string, std::string>& addresses() const { return addresses_; }
 
--- a/src/rooksill/partition/partition_owner.cc
+++ b/src/rooksill/partition/partition_owner.cc
@@ -95,6 +95,7 @@
     if (owns(worker.partition) && worker.tokens.needs_new_lease(highest_issued))
       partitions.insert(worker.partition);
   std::vector<wire::LeaseRenewalRequest> requests;
+  requests.reserve(partitions.size());
   for (const int partition : partitions)
     requests.push_back({partition, replica_.leases[static_cast<size_t>(partition)].fencing_token});
   return requests;
@@ -102,31 +103,29 @@
 
 // A batch of store changes affects only the machines in `changed_machines`.
 void PartitionOwner::apply_store_changes() {
-  for (const auto& name : replica_.changes.changed_machines) {
-    const model::Machine* machine = replica_.machine(name);
-    agent::Worker* worker = workers_.find(name);
-    // The fencing token of a worker is that of its partition's lease, so a worker whose machine
-    // belongs to another partition now is replaced.
-    const bool has_left =
-        worker != nullptr && (machine == nullptr || machine->partition != worker->partition);
-    if (worker != nullptr && !has_left) {
-      workers_.mark_changed(*worker);
-      continue;
-    }
-    if (has_left) {
-      capacities_.remove_usage(*worker);
-      workers_.remove(name);
-    }
-    if (machine != nullptr && owns(machine->partition))
-      workers_.add(name, machine->partition);
-    else if (machine == nullptr && worker == nullptr)
-      workers_.forget_machine(name);
+  for (const auto& name : replica_.changes.changed_machines) update_worker(name);
+}
+
+// The fencing tokens of a worker are those of its partition's lease, so a worker whose machine
+// belongs to another partition now is replaced.
+void PartitionOwner::update_worker(const std::string& machine_name) {
+  const model::Machine* machine = replica_.machine(machine_name);
+  agent::Worker* worker = workers_.find(machine_name);
+  if (machine == nullptr && worker == nullptr) return workers_.remove_address(machine_name);
+  if (machine != nullptr && worker != nullptr && machine->partition == worker->partition)
+    return workers_.mark_changed(*worker);
+  if (worker != nullptr) {
+    capacities_.remove_usage(*worker);
+    workers_.remove(machine_name);
   }
+  if (machine != nullptr && owns(machine->partition))
+    workers_.add(machine_name, machine->partition);
 }
 
 void PartitionOwner::check_timeouts() {
   renewal_permit_.log_change();
   failure_detector_.check();
+  workers_.forget_released_machines();
   evicted_tasks_.remove_if([&](const model::TaskRef& ref, uint64_t attempt) {
     const model::TaskState* task = replica_.task(ref);
     return task == nullptr || task->machine.empty() || task->attempt != attempt;
--- a/src/rooksill/partition/partition_owner.h
+++ b/src/rooksill/partition/partition_owner.h
@@ -135,6 +135,7 @@
  private:
   void acquire_partition(int partition);
   void remove_workers(int partition);
+  void update_worker(const std::string& machine_name);
 
   // Implement changes::TaskChangeListener.
   void on_change_added(const model::TaskRef& task, const changes::TaskChange& change) override;
--- a/src/rooksill/store/replica.h
+++ b/src/rooksill/store/replica.h
@@ -65,12 +65,15 @@
   // Returns whether the machine is in no machine list. Either it has been released, or it was
   // rented after the known revisions of the lists; has_current_lists_for() rules out the latter.
   bool is_machine_unlisted(const std::string& name) const { return machine(name) == nullptr; }
+  // Returns whether all changes of the machine lists up to their newest known page are known. While
+  // a page is newer than `synced_revision`, the transaction that moved a machine to another page
+  // may be missing where a later version of the former page was listed or received.
+  bool has_consistent_lists() const { return synced_revision >= directory_.newest_revision(); }
   // Returns whether an unlisted machine of one of the shard's tasks is certain to be gone: all
   // changes up to `synced_revision` are known, and a task's machine is listed before its shard is
-  // written. No page may be newer: the transaction that moved a machine to another page may be
-  // missing where a later version of the former page was listed or received.
+  // written.
   bool has_current_lists_for(const model::TaskShard& shard) const {
-    return synced_revision >= std::max(shard.revision, directory_.newest_revision());
+    return has_consistent_lists() && synced_revision >= shard.revision;
   }
   // Returns whether the task needs a machine: it is not done, and it is on no machine or on an
   // unlisted one.
