--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -424,6 +424,39 @@
   std::map<int, uint64_t> report_answers;  // by status
   std::map<std::pair<std::string, uint64_t>, Task> tasks;
 
+  // Requests to /commands with starts that were carried out and answered 200.
+  std::vector<json> carried_out;
+  // The machine stops and is back after `down` seconds under its name, with nothing on it: a new
+  // worker, with tenure 1 and no token seen. Its first report follows within a second.
+  void restart(double down) {
+    shared_.record.line("machine restarts", {{"perch", name}, {"down", down}});
+    drop_tasks("machine restarted");
+    connected = false;
+    ++life_;
+    shared_.loop.after(down, [this, alive = alive_] {
+      if (!*alive || gone_) return;
+      connected = true;
+      in_flight_ = false;
+      session = 1;
+      token = tally = 0;
+      session_began_ = shared_.loop.now();
+      answered_sent_at_ = last_report_ = -1;
+      token_change_at_ = -1000;
+      change_pending_ = false;
+      not_before_ = 0;
+      next_report_ = session_began_ + shared_.uniform(0.5, 1);
+      shared_.record.line("machine is back", {{"perch", name}});
+    });
+  }
+  // A copy of a request that was carried out arrives again. Nobody gets the answer.
+  void repeat(const json& body) {
+    Message copy;
+    copy.target = "/commands";
+    copy.body = body.dump();
+    handle(copy, [this](int status, const std::string&) {
+      shared_.record.line("copy arrived", {{"perch", name}, {"would be answered", status}});
+    });
+  }
   // Cores that no task uses. Exited tasks use none.
   double free_cores() const { return type.cores - cores_used(); }
   // The machine is gone with all that is on it.
@@ -688,8 +721,9 @@
     const std::string body = report().dump();
     largest_report = std::max(largest_report, body.size());
     const uint64_t sent_session = session;
-    auto done = [this, alive = alive_, now, sent_session, size = body.size()](const Message& m) {
-      if (!*alive || gone_) return;
+    auto done = [this, alive = alive_, life = life_, now, sent_session,
+                 size = body.size()](const Message& m) {
+      if (!*alive || gone_ || life != life_) return;
       in_flight_ = false;
       on_answer(m, now, sent_session, size);
     };
@@ -742,13 +776,20 @@
     const bool old = baton < token;
     see_token(baton);
     if (old || body["tenure"].get<uint64_t>() != session) return reply(409, report().dump());
-    execute(body.value("orders", json::array()));
+    const json orders = body.value("orders", json::array());
+    for (const json& order : orders)
+      if (order["verb"] == "start") {
+        carried_out.push_back(body);
+        break;
+      }
+    execute(orders);
     reply(200, report().dump());
   }
 
   Shared& shared_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::string node_;
+  int life_ = 0;  // of the machine
   bool gone_ = false, in_flight_ = false, change_pending_ = true;
   double session_began_ = 0, answered_sent_at_ = -1, last_report_ = -10, next_report_ = 0,
          not_before_ = 0, token_change_at_ = -1000;
